Core decisions, peer frames and a stand-in database group

First pieces of the frame: state machines without input or output, h2 and bincode between processes, and a database stand-in over the PostgreSQL protocol.

--- /dev/null
+++ b/crates/hemlockcrank/src/lib.rs
@@ -0,0 +1,5 @@
+//! # hemlockcrank
+//!
+//! The daemon.
+
+pub mod pg;
--- /dev/null
+++ b/crates/hemlockcrank_core/src/allotment.rs
@@ -0,0 +1,25 @@
+//! Fleet-wide rates: one owner per workspace lends small amounts to the hosts.
+//!
+//! The owner keeps a [`Bucket`]; each host keeps a [`Purse`] per workspace. A loan ends sooner for the
+//! borrower than for the owner, and a loan that ends unsettled counts as spent. The owner asserts
+//!
+//! ```text
+//! available + outstanding <= burst
+//! ```
+//!
+//! after every step; refilling is the only thing that adds, so over any window the hosts together admit
+//! at most `burst + rate * window`.
+//!
+//! A new owner starts from the old one's [`Handover`], or empty once the old owner's authority and all
+//! its loans have surely ended.
+
+mod bucket;
+mod purse;
+
+pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
+pub use purse::{Ask, Purse, Take};
+
+/// Life of a loan for the borrower, counted from when it asked, in milliseconds.
+pub const LOAN_MS: u64 = 400;
+/// Addition for the owner, which covers clock drift, in milliseconds.
+pub const LOAN_MARGIN_MS: u64 = 100;
--- /dev/null
+++ b/crates/hemlockcrank_core/src/allotment/bucket.rs
@@ -0,0 +1,199 @@
+//! The owner's side.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{LOAN_MARGIN_MS, LOAN_MS};
+use crate::record::Rate;
+
+/// Fractions of a token that are counted.
+const MILLI: u64 = 1_000;
+
+/// Tokens lent to one host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Loan {
+    /// Number given by the owner.
+    pub id: u64,
+    /// Tokens.
+    pub amount: u64,
+}
+
+/// What a borrower says of a loan it is done with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Settlement {
+    /// Loan.
+    pub id: u64,
+    /// Tokens that were not spent and never will be.
+    pub unspent: u64,
+}
+
+/// The owner's answer to a borrower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Answer {
+    /// Tokens to spend within [`LOAN_MS`] of asking.
+    Granted(Loan),
+    /// The workspace is at its rate.
+    Empty {
+        /// Time until a token may be there, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The bucket has another owner, or its new owner may not lend yet.
+    Closed,
+}
+
+/// What an old owner tells the new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Handover {
+    /// Thousandths of tokens not lent.
+    pub available_milli: u64,
+    /// Tokens lent and not settled.
+    pub outstanding: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Debt {
+    amount: u64,
+    ends_at: u64,
+}
+
+/// One workspace's tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Bucket {
+    rate: Rate,
+    available_milli: u64,
+    refilled_at: u64,
+    opens_at: u64,
+    next_loan: u64,
+    debts: BTreeMap<u64, Debt>,
+}
+
+impl Bucket {
+    /// A full bucket, for a rate that has had no other owner.
+    pub fn full(rate: Rate, now: u64) -> Self {
+        let mut bucket = Self::empty(rate, now, now);
+        bucket.available_milli = rate.burst * MILLI;
+        bucket
+    }
+
+    /// An empty bucket that neither refills nor lends before `opens_at`.
+    pub fn empty(rate: Rate, now: u64, opens_at: u64) -> Self {
+        Self {
+            rate,
+            available_milli: 0,
+            refilled_at: now.max(opens_at),
+            opens_at,
+            next_loan: 1,
+            debts: BTreeMap::new(),
+        }
+    }
+
+    /// Continues an old owner's bucket. Its loans cannot be settled here and end by themselves.
+    pub fn resume(rate: Rate, now: u64, handover: Handover) -> Self {
+        let mut bucket = Self::empty(rate, now, now);
+        let outstanding = handover.outstanding.min(rate.burst);
+        bucket.available_milli = handover
+            .available_milli
+            .min((rate.burst - outstanding) * MILLI);
+        if outstanding > 0 {
+            bucket.lend(now, outstanding);
+        }
+        bucket.check();
+        bucket
+    }
+
+    /// What the next owner needs; this bucket must not lend afterwards.
+    pub fn hand_over(&mut self, now: u64) -> Handover {
+        self.refill(now);
+        self.opens_at = u64::MAX;
+        Handover {
+            available_milli: self.available_milli,
+            outstanding: self.outstanding(),
+        }
+    }
+
+    /// Takes a new rate into force.
+    pub fn set_rate(&mut self, now: u64, rate: Rate) {
+        if rate != self.rate {
+            self.refill(now);
+            self.rate = rate;
+            self.available_milli = self.available_milli.min(self.room_milli());
+        }
+    }
+
+    /// Settles old loans and lends up to `want` tokens.
+    pub fn borrow(&mut self, now: u64, want: u64, settled: &[Settlement]) -> Answer {
+        if now < self.opens_at {
+            return Answer::Closed;
+        }
+        self.refill(now);
+        for settlement in settled {
+            self.settle(*settlement);
+        }
+        let amount = want.min(self.available_milli / MILLI);
+        self.check();
+        if amount == 0 {
+            return Answer::Empty {
+                retry_after_ms: self.next_token_ms(),
+            };
+        }
+        self.available_milli -= amount * MILLI;
+        let id = self.lend(now, amount);
+        self.check();
+        Answer::Granted(Loan { id, amount })
+    }
+
+    /// Tokens lent and neither settled nor ended.
+    pub fn outstanding(&self) -> u64 {
+        self.debts.values().map(|debt| debt.amount).sum()
+    }
+
+    /// Whole tokens that could be lent.
+    pub fn available(&self) -> u64 {
+        self.available_milli / MILLI
+    }
+
+    fn lend(&mut self, now: u64, amount: u64) -> u64 {
+        let id = self.next_loan;
+        self.next_loan += 1;
+        let ends_at = now + LOAN_MS + LOAN_MARGIN_MS;
+        self.debts.insert(id, Debt { amount, ends_at });
+        id
+    }
+
+    fn settle(&mut self, settlement: Settlement) {
+        if let Some(debt) = self.debts.remove(&settlement.id) {
+            let unspent = settlement.unspent.min(debt.amount);
+            self.available_milli += unspent * MILLI;
+            self.available_milli = self.available_milli.min(self.room_milli());
+        }
+    }
+
+    fn refill(&mut self, now: u64) {
+        self.debts.retain(|_, debt| debt.ends_at > now);
+        let elapsed = now.saturating_sub(self.refilled_at);
+        let gained = elapsed.saturating_mul(self.rate.per_second);
+        self.refilled_at = self.refilled_at.max(now);
+        let filled = self.available_milli.saturating_add(gained);
+        self.available_milli = filled.min(self.room_milli());
+    }
+
+    fn room_milli(&self) -> u64 {
+        self.rate.burst.saturating_sub(self.outstanding()) * MILLI
+    }
+
+    fn next_token_ms(&self) -> u64 {
+        let missing = MILLI - self.available_milli % MILLI;
+        missing.div_ceil(self.rate.per_second).max(1)
+    }
+
+    fn check(&self) {
+        let held = self.available_milli + self.outstanding() * MILLI;
+        let burst = self.rate.burst * MILLI;
+        let lowered = self.available_milli == 0;
+        assert!(
+            held <= burst || lowered,
+            "{held} thousandths of tokens are out or available, burst is {burst}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank_core/src/consensus.rs
@@ -0,0 +1,139 @@
+//! The replicated log for control state.
+//!
+//! A [`Node`] is one control host's part in a small voting group. It takes an [`Input`] together with
+//! the present time and answers with [`Output`]s that the caller carries out **in order**: everything
+//! named by [`Output::Persist`] must be synced to disk before any later [`Output::Send`] leaves.
+//!
+//! The protocol is Raft with these parts:
+//!
+//! - **Pre-vote**: a node that was cut off does not raise the term when it comes back.
+//! - **Check-quorum**: a leader that has not heard from a quorum for one election timeout steps down.
+//! - **Leader lease**: followers refuse to vote while they hear a leader, so a leader that heard from a
+//!   quorum recently knows that no other leader exists. See [`Node::lease_until`].
+//! - **Snapshots**: [`Input::Compact`] cuts the log; a follower that is behind the cut receives the
+//!   snapshot.
+//! - **Membership**: one change at a time, learners catch up before they vote. See the `membership`
+//!   module.
+//! - **Incarnations**: an [`Id`] names a host *and* the incarnation of its disk. A host that lost its
+//!   disk has a new incarnation, so it can never vote as the old one.
+//!
+//! ```
+//! use hemlockcrank_core::consensus::{Config, Id, Input, Node, Role, Timing};
+//!
+//! let id = Id::new("host-1", 1);
+//! let config = Config::of_voters([id.clone()]);
+//! let mut node = Node::new(id, config, Timing::default(), 0);
+//! node.step(0, Input::Campaign);
+//! assert_eq!(node.role(), Role::Leader);
+//! ```
+
+mod log;
+mod membership;
+mod message;
+mod node;
+mod progress;
+
+use std::{collections::BTreeSet, fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+pub use log::{Entry, Log, Payload, Snapshot};
+pub use message::{Envelope, Message};
+pub use node::{Input, Node, Output, Persist, ProposeError, Role, Saved};
+
+use crate::Name;
+
+/// One incarnation of one host's control disk.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    /// Host name from the settings.
+    pub host: Name,
+    /// Number written to the data folder when it was created.
+    pub incarnation: u64,
+}
+
+impl Id {
+    /// Names an incarnation of `host`.
+    pub fn new(host: impl Into<Name>, incarnation: u64) -> Self {
+        Self {
+            host: host.into(),
+            incarnation,
+        }
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{:x}", self.host, self.incarnation)
+    }
+}
+
+/// Who votes, and who only receives the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Config {
+    /// Members that vote and count towards a quorum.
+    pub voters: BTreeSet<Id>,
+    /// Members that receive the log and do not count.
+    pub learners: BTreeSet<Id>,
+}
+
+impl Config {
+    /// A configuration with these voters and no learner.
+    pub fn of_voters<I>(voters: I) -> Self
+    where
+        I: IntoIterator<Item = Id>,
+    {
+        Self {
+            voters: voters.into_iter().collect(),
+            learners: BTreeSet::new(),
+        }
+    }
+
+    /// Smallest number of voters that is a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// All members, voters first.
+    pub fn members(&self) -> impl Iterator<Item = &Id> {
+        self.voters.iter().chain(self.learners.iter())
+    }
+
+    /// Whether `id` is a voter or a learner.
+    pub fn contains(&self, id: &Id) -> bool {
+        self.voters.contains(id) || self.learners.contains(id)
+    }
+}
+
+/// Time limits of the protocol, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Timing {
+    /// Interval between two heartbeats of a leader.
+    pub heartbeat_ms: u64,
+    /// Shortest silence after which a follower campaigns, and how long a vote stays refused.
+    pub election_min_ms: u64,
+    /// Longest random addition to `election_min_ms`.
+    pub election_spread_ms: u64,
+    /// Silence after which a voter is replaced.
+    pub silent_ms: u64,
+    /// Number of voters that the leader strives for.
+    pub voters_wanted: usize,
+    /// Most entries in one message.
+    pub batch: usize,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 100,
+            election_min_ms: 600,
+            election_spread_ms: 600,
+            silent_ms: 30_000,
+            voters_wanted: 3,
+            batch: 64,
+        }
+    }
+}
+
+/// Shared immutable bytes of a command or a snapshot.
+pub type Data = Arc<[u8]>;
--- /dev/null
+++ b/crates/hemlockcrank_core/src/placement.rs
@@ -0,0 +1,55 @@
+//! Which database holds a workspace: committed once, never recomputed.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Name, directory::Directory, record};
+
+/// A workspace within a service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Place {
+    /// Workspace.
+    pub workspace: Name,
+    /// Service.
+    pub service: Name,
+}
+
+/// All placements.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placements {
+    chosen: BTreeMap<Place, Name>,
+}
+
+impl Placements {
+    /// Database that holds the workspace.
+    pub fn get(&self, place: &Place) -> Option<&Name> {
+        self.chosen.get(place)
+    }
+
+    /// All placements in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&Place, &Name)> {
+        self.chosen.iter()
+    }
+
+    /// Chooses the database in service with the fewest workspaces; the first by name on a tie.
+    pub fn choose(
+        &self,
+        directory: &Directory,
+        records: &record::Store,
+        service: &str,
+    ) -> Option<Name> {
+        directory
+            .of_service(service)
+            .filter(|name| records.database_in_service(name))
+            .min_by_key(|name| self.chosen.values().filter(|held| held == name).count())
+            .cloned()
+    }
+
+    /// Records a committed placement; the first one stands.
+    pub(crate) fn commit(&mut self, place: &Place, database: &Name) {
+        self.chosen
+            .entry(place.clone())
+            .or_insert_with(|| database.clone());
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -0,0 +1,176 @@
+//! The calls between our processes.
+
+use std::net::SocketAddr;
+
+use hemlockcrank_core::{
+    Name,
+    allotment::{Answer, Handover, Settlement},
+    clock::Stamp,
+    consensus::{Config, Envelope, Id},
+    directory::Announcement,
+    failover::Report,
+    membership::Host,
+    state::{Command, Reply, State},
+};
+use serde::{Deserialize, Serialize};
+
+/// A body with the sender's clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Frame<T> {
+    /// Sender's hybrid clock.
+    pub stamp: Stamp,
+    /// Content.
+    pub body: T,
+}
+
+/// What one process asks of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Request {
+    /// A message of the control group.
+    Consensus(Envelope),
+    /// Asks how the control group was formed.
+    Form,
+    /// Asks to receive the control log, on the way to becoming a voter.
+    Join(Id),
+    /// Asks for news and a lease.
+    Follow(Follow),
+    /// Asks the leader to commit a command.
+    Propose(Command),
+    /// Hands on what a database's member announced.
+    Announce(Announcement),
+    /// Asks the owner of a workspace's rate for tokens.
+    Borrow {
+        /// Workspace.
+        workspace: Name,
+        /// Tokens wanted.
+        want: u64,
+        /// Loans that are done.
+        settled: Vec<Settlement>,
+    },
+    /// Asks the last owner of a workspace's rate for its bucket.
+    HandOver {
+        /// Workspace.
+        workspace: Name,
+        /// Log index of the view that made the sender the owner.
+        index: u64,
+    },
+    /// Asks for recent events.
+    Events,
+}
+
+/// A host's question to its parent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Follow {
+    /// The host that asks.
+    pub host: Host,
+    /// Last log index that it has applied.
+    pub applied: u64,
+    /// What it says of the databases that it watches.
+    pub reports: Vec<Report>,
+}
+
+/// What happened at one log index.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Log index.
+    pub index: u64,
+    /// Command; `None` for entries of the protocol itself.
+    pub command: Option<Command>,
+}
+
+/// The answer to [`Follow`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// Log entries after the asker's index.
+    Updates {
+        /// Entries, without gaps.
+        updates: Vec<Update>,
+        /// Index that the lease is good for.
+        index: u64,
+        /// Time left of the parent's authority, in milliseconds.
+        remaining_ms: u64,
+    },
+    /// The whole state, for an asker that is far behind.
+    State {
+        /// State machine.
+        state: Box<State>,
+        /// Time left of the parent's authority, in milliseconds.
+        remaining_ms: u64,
+    },
+    /// The receiver is no parent now.
+    NotLeader {
+        /// Host that leads, if known.
+        leader: Option<Name>,
+        /// Its address, if known.
+        address: Option<SocketAddr>,
+    },
+}
+
+/// The answer to [`Request::Propose`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProposeReply {
+    /// Committed and applied.
+    Applied {
+        /// Answer of the state machine.
+        reply: Reply,
+        /// Log index.
+        index: u64,
+    },
+    /// Another host leads; nothing was written.
+    NotLeader {
+        /// Host that leads, if known.
+        leader: Option<Name>,
+    },
+    /// Leadership changed meanwhile: the command may or may not be committed.
+    Unknown,
+}
+
+/// The answer to [`Request::Form`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Formation {
+    /// The host has no control disk.
+    NoDisk,
+    /// The host's disk knows no group yet.
+    Fresh(Id),
+    /// The host's disk knows a group.
+    Formed {
+        /// Its membership.
+        config: Config,
+    },
+}
+
+/// One event of the time line.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventRecord {
+    /// Place in the causal order.
+    pub stamp: Stamp,
+    /// Host that it happened on.
+    pub host: Name,
+    /// Number in the catalogue.
+    pub number: u16,
+    /// Name in the catalogue.
+    pub name: Name,
+    /// Field names and values.
+    pub fields: Vec<(Name, Name)>,
+}
+
+/// The answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Response {
+    /// Received; nothing to say.
+    Noted,
+    /// Answer to [`Request::Form`].
+    Formation(Formation),
+    /// Answer to [`Request::Follow`].
+    News(News),
+    /// Answer to [`Request::Propose`].
+    Proposed(ProposeReply),
+    /// Answer to [`Request::Borrow`].
+    Allotment(Answer),
+    /// Answer to [`Request::HandOver`]; `None` when the receiver had no bucket or is not ready.
+    HandOver(Option<Handover>),
+    /// Answer to [`Request::Events`].
+    Events(Vec<EventRecord>),
+    /// The receiver is stopping or cannot answer now; nothing was done.
+    Unavailable,
+}
--- /dev/null
+++ b/crates/hemlockcrank_wire/src/client.rs
@@ -0,0 +1,177 @@
+//! Calls to one peer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use hemlockcrank_core::{Name, clock::Stamp};
+use http::{Request as HttpRequest, StatusCode};
+use thiserror::Error;
+use tokio::{net::TcpStream, sync::Mutex, time::timeout};
+
+use crate::{
+    CodecError, Frame, PROOF_HEADER, Request, Response, VERSION, VERSION_HEADER, decode, encode,
+    server::read_body,
+};
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes that may be in flight on one stream and on one connection.
+const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+
+/// Why a call has no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// The peer was not reached; it has not seen the call.
+    #[error("peer {peer} was not reached")]
+    Unreached {
+        /// Peer address.
+        peer: SocketAddr,
+    },
+    /// The call left and no answer came; the peer may have seen it.
+    #[error("no answer from peer {peer}")]
+    Lost {
+        /// Peer address.
+        peer: SocketAddr,
+    },
+    /// The peer refused the call: another protocol version or peer secret.
+    #[error("peer {peer} refused the call with status {status}")]
+    Refused {
+        /// Peer address.
+        peer: SocketAddr,
+        /// HTTP status.
+        status: StatusCode,
+    },
+    /// The body cannot be written or the answer cannot be read.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
+
+impl CallError {
+    /// Whether the peer has surely not acted on the call.
+    pub fn is_unseen(&self) -> bool {
+        !matches!(self, Self::Lost { .. })
+    }
+}
+
+/// One peer's connection, opened when it is first needed and again when it breaks.
+#[derive(Debug)]
+pub struct Client {
+    peer: SocketAddr,
+    proof: Name,
+    sender: Mutex<Option<SendRequest<Bytes>>>,
+}
+
+impl Client {
+    /// A client that is not connected yet. `proof` shows that both know the peer secret.
+    pub fn new(peer: SocketAddr, proof: Name) -> Self {
+        Self {
+            peer,
+            proof,
+            sender: Mutex::new(None),
+        }
+    }
+
+    /// Address of the peer.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`]; only [`CallError::Lost`] leaves open whether the peer acted.
+    pub async fn call(
+        &self,
+        stamp: Stamp,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<Frame<Response>, CallError> {
+        let peer = self.peer;
+        let body = encode(&Frame {
+            stamp,
+            body: request,
+        })?;
+        let sender = self.connected().await?;
+        match timeout(limit, self.exchange(sender, body)).await {
+            Ok(Err(error @ CallError::Lost { .. })) => {
+                self.disconnect().await;
+                Err(error)
+            }
+            Ok(answer) => answer,
+            Err(_) => {
+                self.disconnect().await;
+                Err(CallError::Lost { peer })
+            }
+        }
+    }
+
+    async fn connected(&self) -> Result<SendRequest<Bytes>, CallError> {
+        let mut slot = self.sender.lock().await;
+        if let Some(sender) = slot.clone()
+            && let Ok(ready) = sender.ready().await
+        {
+            return Ok(ready);
+        }
+        *slot = None;
+        let fresh = timeout(CONNECT_TIMEOUT, self.connect()).await;
+        let Ok(Ok(sender)) = fresh else {
+            return Err(CallError::Unreached { peer: self.peer });
+        };
+        *slot = Some(sender.clone());
+        sender
+            .ready()
+            .await
+            .map_err(|_| CallError::Unreached { peer: self.peer })
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Bytes>, h2::Error> {
+        let stream = TcpStream::connect(self.peer)
+            .await
+            .map_err(|_| h2::Error::from(h2::Reason::CONNECT_ERROR))?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = h2::client::Builder::new()
+            .initial_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES)
+            .handshake(stream)
+            .await?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "peer connection ended");
+            }
+        });
+        Ok(sender)
+    }
+
+    async fn exchange(
+        &self,
+        mut sender: SendRequest<Bytes>,
+        body: Vec<u8>,
+    ) -> Result<Frame<Response>, CallError> {
+        let peer = self.peer;
+        let lost = |_| CallError::Lost { peer };
+        let head = HttpRequest::post(format!("http://{peer}/call"))
+            .header(VERSION_HEADER, VERSION)
+            .header(PROOF_HEADER, &*self.proof)
+            .body(())
+            .map_err(|_| CallError::Unreached { peer })?;
+        let (answer, mut stream) = sender
+            .send_request(head, false)
+            .map_err(|_| CallError::Unreached { peer })?;
+        stream.send_data(body.into(), true).map_err(lost)?;
+        let answer = answer.await.map_err(lost)?;
+        let status = answer.status();
+        if status != StatusCode::OK {
+            return Err(CallError::Refused { peer, status });
+        }
+        let bytes = read_body(answer.into_body())
+            .await
+            .map_err(|_| CallError::Lost { peer })?;
+        Ok(decode(&bytes)?)
+    }
+
+    async fn disconnect(&self) {
+        *self.sender.lock().await = None;
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank_wire/src/server.rs
@@ -0,0 +1,135 @@
+//! Answers to peers' calls.
+
+use std::{future::Future, sync::Arc};
+
+use bytes::{Bytes, BytesMut};
+use h2::{RecvStream, server::SendResponse};
+use hemlockcrank_core::Name;
+use http::{Request as HttpRequest, Response as HttpResponse, StatusCode};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{
+    Frame, MAX_BODY_BYTES, PROOF_HEADER, Request, Response, VERSION, VERSION_HEADER, decode, encode,
+};
+
+/// Calls that one peer connection may have open.
+const MAX_STREAMS: u32 = 10_000;
+/// Bytes that may be in flight on one stream and on one connection.
+const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+
+/// A call as received.
+pub type Incoming = Frame<Request>;
+
+/// Why a body was not received.
+#[derive(Debug, Error)]
+pub(crate) enum BodyError {
+    /// The stream broke.
+    #[error(transparent)]
+    Stream(#[from] h2::Error),
+    /// More than [`MAX_BODY_BYTES`] came.
+    #[error("body is over the limit")]
+    Oversized,
+}
+
+/// Accepts peers' connections until the future is dropped, and answers each call by `handle`.
+pub async fn serve<F, R>(listener: TcpListener, proof: Name, handle: F)
+where
+    F: Fn(Incoming) -> R + Send + Sync + 'static,
+    R: Future<Output = Frame<Response>> + Send + 'static,
+{
+    let handle = Arc::new(handle);
+    let mut tasks = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let _ = stream.set_nodelay(true);
+                    tasks.spawn(serve_peer(stream, proof.clone(), Arc::clone(&handle)));
+                }
+            }
+            Some(_) = tasks.join_next() => {}
+        }
+    }
+}
+
+async fn serve_peer<F, R>(stream: TcpStream, proof: Name, handle: Arc<F>)
+where
+    F: Fn(Incoming) -> R + Send + Sync + 'static,
+    R: Future<Output = Frame<Response>> + Send + 'static,
+{
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .handshake(stream);
+    let Ok(mut connection) = handshake.await else {
+        return;
+    };
+    let mut calls = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            next = connection.accept() => {
+                let Some(Ok((request, reply))) = next else {
+                    return;
+                };
+                calls.spawn(answer(request, reply, proof.clone(), Arc::clone(&handle)));
+            }
+            Some(_) = calls.join_next() => {}
+        }
+    }
+}
+
+async fn answer<F, R>(
+    request: HttpRequest<RecvStream>,
+    mut reply: SendResponse<Bytes>,
+    proof: Name,
+    handle: Arc<F>,
+) where
+    F: Fn(Incoming) -> R,
+    R: Future<Output = Frame<Response>>,
+{
+    let outcome = accept_call(request, &proof).await;
+    let body = match outcome {
+        Ok(call) => encode(&handle(call).await).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR),
+        Err(status) => Err(status),
+    };
+    let mut head = HttpResponse::new(());
+    *head.status_mut() = *body.as_ref().err().unwrap_or(&StatusCode::OK);
+    let bytes: Bytes = body.unwrap_or_default().into();
+    if let Ok(mut stream) = reply.send_response(head, false) {
+        let _ = stream.send_data(bytes, true);
+    }
+}
+
+/// Checks version and secret, then reads the call.
+async fn accept_call(
+    request: HttpRequest<RecvStream>,
+    proof: &str,
+) -> Result<Incoming, StatusCode> {
+    let header = |name: &str| request.headers().get(name).map(http::HeaderValue::as_bytes);
+    if header(VERSION_HEADER) != Some(VERSION.to_string().as_bytes()) {
+        return Err(StatusCode::UPGRADE_REQUIRED);
+    }
+    if header(PROOF_HEADER) != Some(proof.as_bytes()) {
+        return Err(StatusCode::FORBIDDEN);
+    }
+    let bytes = read_body(request.into_body())
+        .await
+        .map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+    decode(&bytes).map_err(|_| StatusCode::BAD_REQUEST)
+}
+
+/// Reads a whole body, handing the flow-control window back as it goes.
+pub(crate) async fn read_body(mut stream: RecvStream) -> Result<Bytes, BodyError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk?;
+        stream.flow_control().release_capacity(chunk.len())?;
+        if body.len() + chunk.len() > MAX_BODY_BYTES {
+            return Err(BodyError::Oversized);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/hemlockctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
