--- /dev/null
+++ b/crates/hemlockcrank/src/caller/greeting.rs
@@ -0,0 +1,243 @@
+//! The start of a caller's connection: who it is, and whether its key is good.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use hemlockcrank_core::{
+    Name,
+    record::{Body, Digest},
+};
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup},
+};
+use subtle::ConstantTimeEq;
+
+use super::{
+    failure::Failure,
+    session::{Identity, Session},
+};
+use crate::{
+    context::Context,
+    control::World,
+    event::Event,
+    pg::{Opening, PgError, Stream, error_response, tag},
+    upstream,
+};
+
+/// Longest time that a caller may take to present itself.
+const GREETING_LIMIT: Duration = Duration::from_secs(10);
+/// Parameters that every caller is told.
+const PARAMETERS: &[(&str, &str)] = &[
+    ("server_version", "16.0 (hemlockcrank)"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// Greets a caller; `None` when it left, was refused or only wanted to cancel.
+pub(crate) async fn greet(context: Arc<Context>, mut stream: Stream) -> Option<Session> {
+    let opening = tokio::time::timeout(GREETING_LIMIT, stream.read_opening()).await;
+    let startup = match opening {
+        Ok(Ok(Some(Opening::Startup(startup)))) => startup,
+        Ok(Ok(Some(Opening::Cancel(cancel)))) => {
+            forward_cancel(&context, cancel.pid, &cancel.secret_key).await;
+            return None;
+        }
+        Ok(Err(error)) => {
+            refuse(&context, &mut stream, &Failure::protocol(error), "").await;
+            return None;
+        }
+        Ok(Ok(None)) | Err(_) => return None,
+    };
+    let identified =
+        tokio::time::timeout(GREETING_LIMIT, identify(&context, &mut stream, &startup));
+    let identity = match identified.await {
+        Ok(Ok(Ok(identity))) => identity,
+        Ok(Ok(Err(failure))) => {
+            let workspace = startup.parameters.get("user").map_or("", String::as_str);
+            refuse(&context, &mut stream, &failure, workspace).await;
+            return None;
+        }
+        Ok(Err(error)) => {
+            refuse(&context, &mut stream, &Failure::protocol(error), "").await;
+            return None;
+        }
+        Err(_) => return None,
+    };
+    let number = context.next_session.fetch_add(1, Ordering::Relaxed) + 1;
+    let key = cancel_key(&context, number);
+    let mut session = Session::new(context, stream, identity, number, key);
+    if let Err(failure) = apply_options(&mut session, &startup) {
+        let context = Arc::clone(&session.context);
+        refuse(&context, &mut session.stream, &failure.fatal(), "").await;
+        return None;
+    }
+    welcome(&mut session).await.ok()?;
+    Some(session)
+}
+
+async fn identify(
+    context: &Context,
+    stream: &mut Stream,
+    startup: &Startup,
+) -> Result<Result<Identity, Failure>, PgError> {
+    let parameter = |name: &str| startup.parameters.get(name).map_or("", String::as_str);
+    let workspace: Name = parameter("user").into();
+    let service: Name = match parameter("database") {
+        "" => workspace.clone(),
+        database => database.into(),
+    };
+    stream.queue(&Authentication::CleartextPassword)?;
+    stream.flush().await?;
+    let Some(frame) = stream.read().await? else {
+        return Err(PgError::Truncated);
+    };
+    if frame.tag != tag::PASSWORD {
+        return Err(PgError::Unexpected(frame.tag));
+    }
+    let PgWireFrontendMessage::PasswordMessageFamily(family) = frame.frontend()? else {
+        return Err(PgError::Unexpected(frame.tag));
+    };
+    let secret = family.into_password()?.password;
+    let world = context.control.world();
+    Ok(check_identity(context, &world, workspace, service, &secret))
+}
+
+/// Finds out who the caller is: the workspace of its key, or anybody on an open service.
+fn check_identity(
+    context: &Context,
+    world: &World,
+    workspace: Name,
+    service: Name,
+    secret: &str,
+) -> Result<Identity, Failure> {
+    let records = &world.state.records;
+    let digest = Digest::of(&context.settings.secrets.key_digest, secret);
+    if let Some(key) = find_key(world, &workspace, &digest) {
+        if !world.has_lease() && !is_open(world, &service) {
+            return Err(Failure::no_lease().fatal());
+        }
+        let listed = records
+            .workspace(&workspace)
+            .is_some_and(|workspace| workspace.services.contains(&service));
+        if !listed && !is_open(world, &service) {
+            return Err(Failure::no_service(&service).fatal());
+        }
+        return Ok(Identity {
+            user: workspace.clone(),
+            workspace: Some(workspace),
+            key: Some((key, digest)),
+            service,
+        });
+    }
+    if secret.is_empty() && is_open(world, &service) {
+        return Ok(Identity {
+            user: workspace,
+            workspace: None,
+            key: None,
+            service,
+        });
+    }
+    if !world.has_lease() {
+        return Err(Failure::no_lease().fatal());
+    }
+    Err(Failure::bad_key())
+}
+
+fn is_open(world: &World, service: &str) -> bool {
+    let found = world.state.records.service(service);
+    found.is_some_and(|service| service.open)
+}
+
+/// Name of the workspace's key with this digest. Every key is compared, each in constant time.
+fn find_key(world: &World, workspace: &Name, digest: &Digest) -> Option<Name> {
+    let mut found = None;
+    for record in world.state.records.iter() {
+        let Some(Body::Key(key)) = &record.body else {
+            continue;
+        };
+        let same = key.digest.as_bytes().ct_eq(digest.as_bytes());
+        if key.workspace == *workspace && bool::from(same) {
+            found = Some(record.id.name.clone());
+        }
+    }
+    found
+}
+
+/// Takes the proxy's own settings from the startup options.
+fn apply_options(session: &mut Session, startup: &Startup) -> Result<(), Failure> {
+    let mut own: BTreeMap<String, String> = BTreeMap::new();
+    for (name, value) in &startup.parameters {
+        if let Some(name) = name.strip_prefix("hemlockcrank.") {
+            own.insert(name.to_owned(), value.clone());
+        }
+    }
+    let options = startup.parameters.get("options").map_or("", String::as_str);
+    for word in options.split_whitespace() {
+        let setting = word.strip_prefix("-c").unwrap_or(word);
+        let setting = setting.strip_prefix("hemlockcrank.");
+        if let Some((name, value)) = setting.and_then(|setting| setting.split_once('=')) {
+            own.insert(name.to_owned(), value.to_owned());
+        }
+    }
+    for (name, value) in own {
+        session.own.set(&name, &value)?;
+    }
+    Ok(())
+}
+
+async fn welcome(session: &mut Session) -> Result<(), PgError> {
+    session.stream.queue(&Authentication::Ok)?;
+    for (name, value) in PARAMETERS {
+        let status = ParameterStatus::new((*name).into(), (*value).into());
+        session.stream.queue(&status)?;
+    }
+    let (pid, secret) = session.cancel_key;
+    let key = BackendKeyData::new(pid, SecretKey::I32(secret));
+    session.stream.queue(&key)?;
+    session.ready().await
+}
+
+fn note_refusal(context: &Context, failure: &Failure, workspace: &str) {
+    let fields: [(&str, &dyn std::fmt::Display); 2] =
+        [("workspace", &workspace), ("why", &failure.message)];
+    context.timeline.emit(Event::CallerRefused, &fields);
+    context.metrics.refusal(failure.sqlstate);
+}
+
+async fn refuse(context: &Context, stream: &mut Stream, failure: &Failure, workspace: &str) {
+    note_refusal(context, failure, workspace);
+    let error = error_response(
+        failure.severity,
+        failure.sqlstate,
+        &failure.message,
+        failure.detail(),
+    );
+    let _ = stream.queue(&error);
+    stream.close().await;
+}
+
+/// Cancel key of a session: its number, and a part of a keyed hash that others cannot guess.
+fn cancel_key(context: &Context, number: u64) -> (i32, i32) {
+    let seed = format!("cancel/{}/{number}", context.control.host().incarnation);
+    let digest = Digest::of(&context.settings.secrets.key_digest, &seed);
+    let bytes = digest.as_bytes();
+    let secret = i32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
+    let pid = i32::try_from(number & 0x7fff_ffff).unwrap_or(i32::MAX);
+    (pid, secret)
+}
+
+async fn forward_cancel(context: &Context, pid: i32, secret: &SecretKey) {
+    let Some(secret) = secret.as_i32() else {
+        return;
+    };
+    if let Some((address, key)) = context.cancel_target((pid, secret)) {
+        let _ = upstream::cancel(context.upstreams.source(), address, key).await;
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/caller/write.rs
@@ -0,0 +1,471 @@
+//! Writes: acknowledged by a majority, run at most once.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use hemlockcrank_core::{
+    Name,
+    directory::Role,
+    request::{Found, Marker, Outcome, Stage, judge},
+    session::Watermark,
+};
+
+use super::{
+    failure::Failure,
+    relay::{Collected, IDLE, RelayError},
+    session::{Ended, Session},
+    unit::Unit,
+};
+use crate::{
+    clock::now_ms,
+    control::World,
+    event::Event,
+    pg::PgError,
+    upstream::{Connection, ConnectionError, Turn, Upstream},
+};
+
+/// SQLSTATE of a member that is no primary; the statement had no effect.
+const READ_ONLY: &str = "25006";
+/// SQLSTATE of a duplicate key.
+const DUPLICATE: &str = "23505";
+/// SQLSTATE of a table that does not exist.
+const NO_TABLE: &str = "42P01";
+/// Pause before a primary that failed is tried again.
+const TRY_AGAIN: Duration = Duration::from_millis(20);
+/// Tries of a write that was proved not to have run.
+const MAX_TRIES: u32 = 5;
+
+/// The marker of an attempt, with the request that it belongs to.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub(crate) request: String,
+    pub(crate) marker: Marker,
+}
+
+/// How one try of a write ended.
+enum Try {
+    /// The caller has its answer.
+    Answered,
+    Failed(Failure),
+    /// Proved not to have run: it may be tried again.
+    Again(Failure),
+}
+
+impl Session {
+    /// Serves a write that stands alone.
+    pub(crate) async fn write(&mut self, unit: Unit) -> Result<Ended, PgError> {
+        let deadline = self.deadline_ms();
+        let request = self.own.request.take();
+        let world = self.context.control.world();
+        let database = match self.database(&world).await {
+            Ok(upstream) => upstream.name.clone(),
+            Err(failure) => return Ok(Err(failure)),
+        };
+        let mut tries = 0;
+        loop {
+            let claim = request.as_deref().map(|request| self.claim(request));
+            let (turn, upstream) = match self.writer(&database, deadline).await {
+                Ok(held) => held,
+                Err(failure) => return Ok(Err(failure)),
+            };
+            let outcome = self.try_write(turn, &upstream, &unit, claim.as_ref());
+            match outcome.await? {
+                Try::Answered => return Ok(Ok(())),
+                Try::Failed(failure) => return Ok(Err(failure)),
+                Try::Again(failure) => {
+                    tries += 1;
+                    if tries >= MAX_TRIES || now_ms() >= deadline {
+                        return Ok(Err(failure));
+                    }
+                    tokio::time::sleep(TRY_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    fn claim(&self, request: &str) -> Claim {
+        let host = self.context.control.host();
+        let unique = self
+            .context
+            .next_session
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let attempt = format!("{}:{}:{unique}", host.name, host.incarnation);
+        Claim {
+            request: request.to_owned(),
+            marker: Marker::new(&self.flow, request, &attempt),
+        }
+    }
+
+    /// A connection to the present primary, waiting through a change of primary until `deadline`.
+    pub(crate) async fn writer(
+        &self,
+        database: &Name,
+        deadline: u64,
+    ) -> Result<(Turn, Arc<Upstream>), Failure> {
+        let mut watch = self.context.control.watch();
+        loop {
+            let world = watch.borrow_and_update().clone();
+            if !world.has_lease() {
+                return Err(Failure::no_lease());
+            }
+            if let Some((upstream, primary)) = self.steady_primary(&world, database)
+                && let Some(pool) = upstream.pools.get(&primary)
+            {
+                let entry = self.queue_entry(&world, deadline);
+                let permit = pool.enter(entry).await.map_err(Failure::busy)?;
+                let now = self.context.control.world();
+                let moved = self.steady_primary(&now, database).map(|(_, name)| name);
+                if moved.as_ref() == Some(&primary) {
+                    match pool.connect(permit, self.number).await {
+                        Ok(mut turn) => match self.take_over(&mut turn.connection).await {
+                            Ok(()) => return Ok((turn, upstream)),
+                            Err(error) => self.note_connection_failure(&primary, &error),
+                        },
+                        Err(error) => self.note_connection_failure(&primary, &error),
+                    }
+                }
+            }
+            let now = now_ms();
+            if now >= deadline {
+                return Err(Failure::no_database("the database has no primary in time"));
+            }
+            let left = Duration::from_millis(deadline - now).min(TRY_AGAIN);
+            let _ = tokio::time::timeout(left, watch.changed()).await;
+        }
+    }
+
+    /// The primary, unless it is changing or the database is out of service.
+    fn steady_primary(&self, world: &World, name: &Name) -> Option<(Arc<Upstream>, Name)> {
+        let database = world.state.directory.get(name)?;
+        if database.promotion.is_some() || !world.state.records.database_in_service(name) {
+            return None;
+        }
+        let primary = database.primary.clone()?;
+        let upstream = self.context.upstreams.get(world, name)?;
+        upstream.tracker.touch();
+        Some((upstream, primary))
+    }
+
+    async fn try_write(
+        &mut self,
+        mut turn: Turn,
+        upstream: &Arc<Upstream>,
+        unit: &Unit,
+        claim: Option<&Claim>,
+    ) -> Result<Try, PgError> {
+        if let Some(claim) = claim {
+            match open_claim(&mut turn.connection, claim).await {
+                Ok(()) => {}
+                Err(ClaimError::Ran) => return Ok(Try::Failed(Failure::ran(&claim.request))),
+                Err(ClaimError::NotPrimary) => {
+                    return Ok(Try::Again(Failure::no_database("the primary has changed")));
+                }
+                Err(ClaimError::Lost) => return Ok(Try::Again(Failure::transaction_lost())),
+            }
+        }
+        self.context
+            .set_cancel(self.cancel_key, Some(turn.cancel_target()));
+        let sent = self.send_unit(&mut turn.connection, unit).await;
+        let collected = match sent {
+            Ok(skip) => self.collect(&mut turn, skip).await,
+            Err(_) => Err(RelayError::Database { relayed: false }),
+        };
+        self.context.set_cancel(self.cancel_key, None);
+        let collected = match collected {
+            Ok(collected) => collected,
+            Err(RelayError::Caller(error)) => return Err(error),
+            Err(RelayError::Database { relayed }) => {
+                drop(turn);
+                return Ok(self.lost_write(upstream, claim, relayed).await);
+            }
+        };
+        if collected.error.as_deref() == Some(READ_ONLY) && !collected.relayed {
+            return Ok(Try::Again(Failure::no_database("the primary has changed")));
+        }
+        match claim {
+            Some(claim) => self.finish_claim(turn, upstream, collected, claim).await,
+            None => self.finish_plain(turn, upstream, collected).await,
+        }
+    }
+
+    /// The connection broke after the unit was sent.
+    async fn lost_write(&self, upstream: &Upstream, claim: Option<&Claim>, relayed: bool) -> Try {
+        let stage = match claim {
+            Some(_) => Stage::InTransaction,
+            None => Stage::CommitSent,
+        };
+        match judge(stage) {
+            Outcome::NotRun if !relayed => Try::Again(Failure::transaction_lost()),
+            _ => Try::Failed(self.explain(stage, &upstream.name, claim).await),
+        }
+    }
+
+    async fn finish_plain(
+        &mut self,
+        mut turn: Turn,
+        upstream: &Arc<Upstream>,
+        collected: Collected,
+    ) -> Result<Try, PgError> {
+        if collected.status != IDLE {
+            self.queue_collected(&collected);
+            self.hold(turn, Arc::clone(upstream), collected.status);
+            self.ready().await?;
+            return Ok(Try::Answered);
+        }
+        let ran = collected.error.is_none() || collected.committed;
+        if ran && !self.acknowledge(&mut turn, upstream).await {
+            let failure = self.explain(Stage::Committed, &upstream.name, None).await;
+            return Ok(Try::Failed(failure));
+        }
+        self.answer_write(&collected, ran).await?;
+        self.keep(turn, &collected);
+        Ok(Try::Answered)
+    }
+
+    /// Commits a unit together with its marker.
+    async fn finish_claim(
+        &mut self,
+        mut turn: Turn,
+        upstream: &Arc<Upstream>,
+        collected: Collected,
+        claim: &Claim,
+    ) -> Result<Try, PgError> {
+        if collected.error.is_some() {
+            let _ = turn.connection.query("ROLLBACK").await;
+            self.answer_write(&collected, false).await?;
+            return Ok(Try::Answered);
+        }
+        let commit = turn.connection.query("COMMIT").await;
+        let stage = match commit {
+            Ok(answer) if answer.failed_with(READ_ONLY) => {
+                return Ok(Try::Again(Failure::no_database("the primary has changed")));
+            }
+            Ok(answer) if answer.failed_with(DUPLICATE) => Stage::CommitSent,
+            Ok(answer) if answer.error.is_some() => Stage::Rejected,
+            Ok(_) if self.acknowledge(&mut turn, upstream).await => Stage::Acknowledged,
+            Ok(_) => Stage::Committed,
+            Err(_) => Stage::CommitSent,
+        };
+        let outcome = match judge(stage) {
+            Outcome::Unknown => {
+                drop(turn);
+                self.resolve(&upstream.name, claim).await
+            }
+            known => {
+                if stage == Stage::Acknowledged {
+                    self.keep(turn, &collected);
+                }
+                known
+            }
+        };
+        match outcome {
+            Outcome::Ran => {
+                self.answer_write(&collected, true).await?;
+                Ok(Try::Answered)
+            }
+            Outcome::NotRun => Ok(Try::Again(Failure::transaction_lost())),
+            Outcome::Unknown => Ok(Try::Failed(Failure::unknown())),
+        }
+    }
+
+    async fn answer_write(&mut self, collected: &Collected, ran: bool) -> Result<(), PgError> {
+        self.queue_collected(collected);
+        if ran {
+            self.context.metrics.write();
+            self.queue_token()?;
+        }
+        self.ready().await
+    }
+
+    /// Gives a connection back, unless an error leaves open which statements are prepared on it.
+    fn keep(&self, turn: Turn, collected: &Collected) {
+        if collected.error.is_none() || turn.connection.prepared.is_empty() {
+            turn.finish();
+        }
+    }
+
+    /// Waits until a majority holds what the connection has just committed, and notes it as written.
+    pub(crate) async fn acknowledge(&mut self, turn: &mut Turn, upstream: &Upstream) -> bool {
+        let limit = Duration::from_millis(self.context.settings.limits.acknowledge_ms);
+        let deadline = Instant::now() + limit;
+        let status = tokio::time::timeout(limit, turn.connection.status()).await;
+        let Ok(Ok((status, _))) = status else {
+            return false;
+        };
+        let write = status.last;
+        if status.role != Role::Primary || status.adopted != write.term {
+            return false;
+        }
+        if !upstream.tracker.acknowledged(write, deadline).await {
+            return false;
+        }
+        self.own.written = Some(Watermark {
+            database: upstream.name.clone(),
+            position: write,
+        });
+        true
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Outcomes
+
+    /// What to tell the caller of work that stopped at `stage`, resolved by its marker where it has one.
+    pub(crate) async fn explain(
+        &self,
+        stage: Stage,
+        database: &Name,
+        claim: Option<&Claim>,
+    ) -> Failure {
+        let outcome = match (judge(stage), claim) {
+            (Outcome::Unknown, Some(claim)) => self.resolve(database, claim).await,
+            (outcome, _) => outcome,
+        };
+        match (outcome, claim) {
+            (Outcome::NotRun, _) => Failure::transaction_lost(),
+            (Outcome::Ran, Some(claim)) => Failure::ran(&claim.request),
+            (Outcome::Ran | Outcome::Unknown, _) => Failure::unknown(),
+        }
+    }
+
+    /// Finds out whether an attempt committed, and makes sure that it never does if it has not.
+    async fn resolve(&self, database: &Name, claim: &Claim) -> Outcome {
+        let deadline = now_ms() + self.context.settings.limits.acknowledge_ms;
+        let mut outcome = Outcome::Unknown;
+        while outcome == Outcome::Unknown && now_ms() < deadline {
+            let Ok((mut turn, upstream)) = self.writer(database, deadline).await else {
+                break;
+            };
+            let found = void(&mut turn.connection, &claim.marker).await;
+            if let Ok(Some(found)) = found
+                && self.is_settled(&mut turn, &upstream).await
+            {
+                outcome = found;
+                turn.finish();
+            } else {
+                tokio::time::sleep(TRY_AGAIN).await;
+            }
+        }
+        let fields: [(&str, &dyn std::fmt::Display); 2] =
+            [("request", &claim.request), ("outcome", &outcome)];
+        self.context.timeline.emit(Event::OutcomeResolved, &fields);
+        outcome
+    }
+
+    /// Whether everything that the connection has seen is held by a majority.
+    async fn is_settled(&self, turn: &mut Turn, upstream: &Upstream) -> bool {
+        let limit = Duration::from_millis(self.context.settings.limits.acknowledge_ms);
+        let Ok((status, _)) = turn.connection.status().await else {
+            return false;
+        };
+        let current = status.role == Role::Primary && status.adopted == status.last.term;
+        let deadline = Instant::now() + limit;
+        current && upstream.tracker.acknowledged(status.last, deadline).await
+    }
+
+    /// Writes the marker of the next request into the open transaction, before its commit.
+    pub(crate) async fn claim_in_transaction(
+        &mut self,
+        turn: &mut Turn,
+    ) -> Result<Option<Claim>, Failure> {
+        let Some(request) = self.own.request.take() else {
+            return Ok(None);
+        };
+        let claim = self.claim(&request);
+        match write_claim(&mut turn.connection, &claim).await {
+            Ok(()) => Ok(Some(claim)),
+            Err(ClaimError::Ran) => Err(Failure::ran(&claim.request)),
+            Err(ClaimError::NotPrimary | ClaimError::Lost) => Err(Failure::transaction_lost()),
+        }
+    }
+}
+
+/// Why a claim was not written.
+enum ClaimError {
+    /// The request has run before.
+    Ran,
+    /// The member is no primary any more.
+    NotPrimary,
+    /// The connection or the transaction is lost.
+    Lost,
+}
+
+impl From<ConnectionError> for ClaimError {
+    fn from(_: ConnectionError) -> Self {
+        Self::Lost
+    }
+}
+
+/// Opens a transaction and writes the claim into it; makes the table where there is none.
+async fn open_claim(connection: &mut Connection, claim: &Claim) -> Result<(), ClaimError> {
+    connection.query("BEGIN").await?;
+    let first = write_claim(connection, claim).await;
+    if !matches!(first, Err(ClaimError::Lost)) {
+        return first;
+    }
+    connection.query("ROLLBACK").await?;
+    let made = connection.query(&Marker::create_table()).await?;
+    if made.failed_with(READ_ONLY) {
+        return Err(ClaimError::NotPrimary);
+    }
+    connection.query("BEGIN").await?;
+    write_claim(connection, claim).await
+}
+
+async fn write_claim(connection: &mut Connection, claim: &Claim) -> Result<(), ClaimError> {
+    let found = connection.query(&claim.marker.find()).await?;
+    if found.error.is_some() {
+        return Err(ClaimError::Lost);
+    }
+    let column = found.rows.first().and_then(|row| row.first()?.as_deref());
+    match column.map(Marker::read) {
+        Some(Found::Ran) => {
+            connection.query("ROLLBACK").await?;
+            return Err(ClaimError::Ran);
+        }
+        Some(Found::Void { attempt }) => {
+            connection.query(&claim.marker.replace(&attempt)).await?;
+        }
+        None => {}
+    }
+    let claimed = connection.query(&claim.marker.claim()).await?;
+    if claimed.failed_with(READ_ONLY) {
+        return Err(ClaimError::NotPrimary);
+    }
+    if claimed.error.is_some() {
+        return Err(ClaimError::Lost);
+    }
+    Ok(())
+}
+
+/// Voids an attempt; `None` when it has to be asked again.
+async fn void(
+    connection: &mut Connection,
+    marker: &Marker,
+) -> Result<Option<Outcome>, ConnectionError> {
+    let voided = connection.query(&marker.void()).await?;
+    if voided.error.is_none() {
+        return Ok(Some(Outcome::NotRun));
+    }
+    if voided.failed_with(NO_TABLE) {
+        connection.query(&Marker::create_table()).await?;
+        return Ok(None);
+    }
+    if !voided.failed_with(DUPLICATE) {
+        return Ok(None);
+    }
+    let found = connection.query(&marker.find()).await?;
+    let column = found.rows.first().and_then(|row| row.first()?.as_deref());
+    match column.map(Marker::read) {
+        Some(Found::Ran) => Ok(Some(Outcome::Ran)),
+        Some(Found::Void { attempt }) if attempt == marker.own_void() => Ok(Some(Outcome::NotRun)),
+        Some(Found::Void { attempt }) => {
+            for text in ["BEGIN", &marker.replace(&attempt), &marker.void(), "COMMIT"] {
+                connection.query(text).await?;
+            }
+            Ok(None)
+        }
+        None => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/control/actor.rs
@@ -0,0 +1,774 @@
+//! The control actor: messages, and the order in which a turn does its work.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use hemlockcrank_core::{
+    Name,
+    consensus::{Envelope, Id, Input, Role},
+    failover::Report,
+    lease,
+    membership::Host,
+    record::Outcome,
+    state::{Command, Reply, State},
+};
+use hemlockcrank_wire::{
+    Follow, Formation, News, Progress, ProposeReply, Request, Response, Update,
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+use tokio::sync::watch;
+
+use super::{
+    Status, World,
+    follow::Following,
+    formation::{Decision, Founding},
+    group::{Group, ReplyPort, Work, command_of, reply, state_of},
+    leader::Duties,
+};
+use crate::{
+    clock::now_ms,
+    event::{Event, Timeline},
+    journal::{Journal, JournalError},
+    peers::{CALL_LIMIT, Peers},
+    settings::Settings,
+};
+
+/// Interval between two ticks.
+const TICK: Duration = Duration::from_millis(25);
+/// Interval between two questions of a fresh disk, in milliseconds.
+const FORM_MS: u64 = 200;
+/// Interval between two requests to join, in milliseconds.
+const JOIN_MS: u64 = 1_000;
+/// Log entries in one answer to a follower; one further behind gets the whole state.
+const MAX_UPDATES: u64 = 1_000;
+
+/// What the actor is told.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// Time has passed.
+    Tick,
+    /// A peer's call.
+    Call(Request, RpcReplyPort<Response>),
+    /// A host answered how the group was formed.
+    Formed(Name, Formation),
+    /// A parent answered, or did not.
+    News { asked_at: u64, news: Option<News> },
+    /// This host's watches speak.
+    Reports(Vec<Report>),
+    /// This host shuts down.
+    Drain,
+    /// This host is about to be taken out of the view.
+    Leave,
+    /// Asks what this host knows.
+    Status(RpcReplyPort<Status>),
+}
+
+/// What the actor begins with.
+pub(crate) struct Arguments {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) host: Host,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) journal: Option<Journal>,
+    pub(crate) publish: watch::Sender<Arc<World>>,
+}
+
+struct Held {
+    follow: Follow,
+    until: u64,
+    port: RpcReplyPort<Response>,
+}
+
+pub(crate) struct ControlActor;
+
+/// Everything the actor keeps.
+pub(crate) struct Control {
+    settings: Arc<Settings>,
+    host: Host,
+    peers: Arc<Peers>,
+    timeline: Arc<Timeline>,
+    publish: watch::Sender<Arc<World>>,
+    myself: ActorRef<Message>,
+    random: ChaCha8Rng,
+    group: Option<Group>,
+    founding: Founding,
+    form_at: u64,
+    join_at: u64,
+    state: State,
+    following: Following,
+    held: Vec<Held>,
+    duties: Option<Duties>,
+    role: Option<Role>,
+    reports: Vec<Report>,
+    had_lease: bool,
+    draining: bool,
+    left: bool,
+    published: Option<(u64, u64, bool)>,
+}
+
+impl Actor for ControlActor {
+    type Msg = Message;
+    type State = Control;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        arguments: Arguments,
+    ) -> Result<Control, ActorProcessingErr> {
+        myself.send_interval(TICK, || Message::Tick);
+        Ok(Control::new(arguments, myself))
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Message>,
+        message: Message,
+        control: &mut Control,
+    ) -> Result<(), ActorProcessingErr> {
+        let turn = control.turn(message);
+        if let Err(error) = &turn {
+            let what = "the control journal failed; this host stops its control part";
+            control
+                .timeline
+                .emit(Event::Fault, &[("what", &what), ("error", error)]);
+        }
+        Ok(turn?)
+    }
+}
+
+impl Control {
+    fn new(arguments: Arguments, myself: ActorRef<Message>) -> Self {
+        let host = arguments.host;
+        let group = arguments.journal.map(|j| Group::new(&host.name, j));
+        let seed = host.incarnation ^ u64::from(std::process::id()) ^ name_seed(&host.name);
+        Self {
+            settings: arguments.settings,
+            host,
+            peers: arguments.peers,
+            timeline: arguments.timeline,
+            publish: arguments.publish,
+            myself,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            group,
+            founding: Founding::default(),
+            form_at: 0,
+            join_at: 0,
+            state: State::default(),
+            following: Following::default(),
+            held: Vec::new(),
+            duties: None,
+            role: None,
+            reports: Vec::new(),
+            had_lease: false,
+            draining: false,
+            left: false,
+            published: None,
+        }
+    }
+
+    /// One message, then everything that follows from it.
+    fn turn(&mut self, message: Message) -> Result<(), JournalError> {
+        match message {
+            Message::Tick => self.tick()?,
+            Message::Call(request, port) => self.call(request, port)?,
+            Message::Formed(from, formation) => self.formed(&from, formation)?,
+            Message::News { asked_at, news } => self.news(asked_at, news),
+            Message::Reports(reports) => self.own_reports(reports),
+            Message::Drain => self.draining = true,
+            Message::Leave => self.left = true,
+            Message::Status(port) => reply(port, self.status()),
+        }
+        self.note_role();
+        self.following.reached(self.state.index);
+        self.answer_held();
+        self.publish();
+        Ok(())
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Time
+
+    fn tick(&mut self) -> Result<(), JournalError> {
+        let now = now_ms();
+        let random = self.random.next_u64();
+        if let Some(group) = &mut self.group {
+            let work = group.step(Input::Tick { random })?;
+            self.work(work);
+        }
+        self.form(now)?;
+        self.lead(now)?;
+        self.follow(now, false);
+        if let Some(group) = &mut self.group
+            && group.compact(&self.state)?
+        {
+            let index = self.state.index;
+            self.timeline.emit(Event::Snapshot, &[("index", &index)]);
+        }
+        Ok(())
+    }
+
+    /// Asks around while the disk is fresh, and asks to join while the group does not list it.
+    fn form(&mut self, now: u64) -> Result<(), JournalError> {
+        let Some(group) = &mut self.group else {
+            return Ok(());
+        };
+        let Some(node) = group.node() else {
+            if now >= self.form_at {
+                self.form_at = now + FORM_MS;
+                let alone = self.founding.found(group.id(), &self.settings.bootstrap);
+                self.decided(alone)?;
+                self.ask_formation();
+            }
+            return Ok(());
+        };
+        if !node.log().config().contains(node.id()) && now >= self.join_at {
+            self.join_at = now + JOIN_MS;
+            let request = Request::Join(node.id().clone());
+            if let Some(address) = self.leader_address() {
+                self.send(address, request);
+            }
+        }
+        Ok(())
+    }
+
+    fn ask_formation(&self) {
+        for peer in &self.settings.peers {
+            let (peers, myself, peer) = (self.peers.clone(), self.myself.clone(), peer.clone());
+            if !self.settings.bootstrap.contains(&peer.host) {
+                continue;
+            }
+            tokio::spawn(async move {
+                let answer = peers.call(peer.address, &Request::Form, CALL_LIMIT).await;
+                if let Ok(Response::Formation(formation)) = answer {
+                    let _ = myself.cast(Message::Formed(peer.host, formation));
+                }
+            });
+        }
+    }
+
+    fn formed(&mut self, from: &Name, formation: Formation) -> Result<(), JournalError> {
+        let Some(group) = &self.group else {
+            return Ok(());
+        };
+        let (own, bootstrap) = (group.id(), &self.settings.bootstrap);
+        let decision = self.founding.answer(own, bootstrap, from, formation);
+        self.decided(decision)
+    }
+
+    fn decided(&mut self, decision: Decision) -> Result<(), JournalError> {
+        let (Decision::Form(config), Some(group)) = (decision, &mut self.group) else {
+            return Ok(());
+        };
+        if group.node().is_none() {
+            let voters: Vec<String> = config.voters.iter().map(ToString::to_string).collect();
+            group.form(config)?;
+            self.timeline
+                .emit(Event::GroupFormed, &[("voters", &voters.join(","))]);
+        }
+        Ok(())
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Leading
+
+    fn note_role(&mut self) {
+        let node = self.group.as_ref().and_then(Group::node);
+        let role = node.map(hemlockcrank_core::consensus::Node::role);
+        let leads = node.is_some_and(hemlockcrank_core::consensus::Node::is_settled);
+        if role != self.role {
+            self.role = role;
+            if let Some(role) = role {
+                let term = node.map_or(0, hemlockcrank_core::consensus::Node::term);
+                self.timeline
+                    .emit(Event::RoleChanged, &[("role", &role), ("term", &term)]);
+            }
+            if role != Some(Role::Leader)
+                && let Some(group) = &mut self.group
+            {
+                group.abandon();
+            }
+        }
+        match (leads, self.duties.is_some()) {
+            (true, false) => self.duties = Some(Duties::begin(now_ms(), &self.state)),
+            (false, true) => self.duties = None,
+            _ => {}
+        }
+    }
+
+    fn lead(&mut self, now: u64) -> Result<(), JournalError> {
+        if !self.leads(now) {
+            return Ok(());
+        }
+        self.following.lead(now);
+        let Some(duties) = &mut self.duties else {
+            return Ok(());
+        };
+        let own = duties.heard(now, &self.state, &self.host, self.state.index);
+        duties.reports(now, &self.host.name, self.reports.clone());
+        let mut commands = duties.tick(now, &self.state);
+        commands.extend(own.filter(|_| !self.draining));
+        for command in commands {
+            self.propose(&command, None)?;
+        }
+        Ok(())
+    }
+
+    /// Whether this host leads and no other can.
+    fn leads(&self, now: u64) -> bool {
+        let node = self.group.as_ref().and_then(Group::node);
+        let until = node.and_then(hemlockcrank_core::consensus::Node::lease_until);
+        let current = node.is_some_and(|node| self.state.index >= node.commit());
+        current && until.is_some_and(|until| now < until)
+    }
+
+    fn propose(&mut self, command: &Command, port: Option<ReplyPort>) -> Result<(), JournalError> {
+        let Some(group) = &mut self.group else {
+            if let Some(port) = port {
+                let leader = self.following.leader().cloned();
+                reply(port, ProposeReply::NotLeader { leader });
+            }
+            return Ok(());
+        };
+        let port = port.unwrap_or_else(|| ractor::concurrency::oneshot().0.into());
+        let work = group.propose(command, port)?;
+        self.work(work);
+        Ok(())
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Following
+
+    fn follow(&mut self, now: u64, urgent: bool) {
+        if self.left || self.leads(now) {
+            return;
+        }
+        let candidates = self.candidates();
+        let address = if urgent {
+            self.leader_address()
+        } else {
+            self.following.next(now, &candidates)
+        };
+        let Some(address) = address else {
+            return;
+        };
+        let request = Request::Follow(Follow {
+            host: self.host.clone(),
+            applied: self.state.index,
+            reports: self.reports.clone(),
+        });
+        if urgent {
+            self.send(address, request);
+            return;
+        }
+        let (peers, myself) = (self.peers.clone(), self.myself.clone());
+        tokio::spawn(async move {
+            let news = match peers.call(address, &request, CALL_LIMIT).await {
+                Ok(Response::News(news)) => Some(news),
+                _ => None,
+            };
+            let _ = myself.cast(Message::News {
+                asked_at: now,
+                news,
+            });
+        });
+    }
+
+    /// Peer addresses that may lead: the hosts named in the settings, this one left out.
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let peers = self.settings.peers.iter();
+        peers.map(|peer| peer.address).collect()
+    }
+
+    fn news(&mut self, asked_at: u64, news: Option<News>) {
+        let now = now_ms();
+        match news {
+            None => self.following.failed(now),
+            Some(News::NotLeader { leader, address }) => {
+                let known = leader.zip(address);
+                self.following.redirected(now, known);
+            }
+            Some(News::Updates {
+                updates,
+                index,
+                remaining_ms,
+            }) => {
+                for update in &updates {
+                    if update.index == self.state.index + 1 {
+                        self.apply(update.index, update.command.as_ref());
+                    }
+                }
+                self.following.granted(index, asked_at, remaining_ms);
+            }
+            Some(News::State {
+                state,
+                remaining_ms,
+            }) => {
+                let index = state.index;
+                self.replace_state(*state);
+                self.following.granted(index, asked_at, remaining_ms);
+            }
+        }
+        self.following.reached(self.state.index);
+        self.follow(now, false);
+    }
+
+    fn own_reports(&mut self, reports: Vec<Report>) {
+        let urgent = reports.iter().any(|report| report.suspects);
+        self.reports = reports;
+        if urgent {
+            self.follow(now_ms(), true);
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Calls
+
+    fn call(&mut self, request: Request, port: RpcReplyPort<Response>) -> Result<(), JournalError> {
+        match request {
+            Request::Consensus(envelope) => {
+                reply(port, Response::Noted);
+                self.receive(Input::Receive(envelope))?;
+            }
+            Request::Join(id) => {
+                reply(port, Response::Noted);
+                self.receive(Input::Join(id))?;
+            }
+            Request::Form => reply(port, Response::Formation(self.formation())),
+            Request::Follow(follow) => self.followed(follow, port)?,
+            Request::Propose(command) => {
+                let (answer, applied) = ractor::concurrency::oneshot();
+                self.propose(&command, Some(answer.into()))?;
+                tokio::spawn(async move {
+                    let answer = applied.await.unwrap_or(ProposeReply::Unknown);
+                    reply(port, Response::Proposed(answer));
+                });
+            }
+            Request::Progress => {
+                let hosts = self.duties.as_ref().map(|d| d.progress(&self.state));
+                reply(port, Response::Progress(hosts));
+            }
+            Request::SwitchOver { database, member } => {
+                let answer = match &mut self.duties {
+                    Some(duties) => {
+                        duties.want(database, member);
+                        Response::Noted
+                    }
+                    None => Response::Unavailable,
+                };
+                reply(port, answer);
+            }
+            Request::Borrow { .. } | Request::HandOver { .. } | Request::Events => {
+                reply(port, Response::Unavailable)
+            }
+        }
+        Ok(())
+    }
+
+    fn receive(&mut self, input: Input) -> Result<(), JournalError> {
+        let Some(group) = &mut self.group else {
+            return Ok(());
+        };
+        let work = group.step(input)?;
+        self.work(work);
+        Ok(())
+    }
+
+    fn formation(&self) -> Formation {
+        match &self.group {
+            None => Formation::NoDisk,
+            Some(group) => match group.node() {
+                None => Formation::Fresh(group.id().clone()),
+                Some(node) => Formation::Formed {
+                    config: node.log().config().clone(),
+                },
+            },
+        }
+    }
+
+    fn followed(
+        &mut self,
+        follow: Follow,
+        port: RpcReplyPort<Response>,
+    ) -> Result<(), JournalError> {
+        let now = now_ms();
+        let Some(duties) = &mut self.duties else {
+            reply(port, Response::News(self.redirect()));
+            return Ok(());
+        };
+        let command = duties.heard(now, &self.state, &follow.host, follow.applied);
+        duties.reports(now, &follow.host.name, follow.reports.clone());
+        if let Some(command) = command {
+            self.propose(&command, None)?;
+        }
+        self.held.push(Held {
+            until: now + lease::RENEW_MS,
+            follow,
+            port,
+        });
+        Ok(())
+    }
+
+    fn redirect(&self) -> News {
+        let node = self.group.as_ref().and_then(Group::node);
+        let known = node.and_then(|node| node.leader());
+        let leader = known.map(|id| id.host.clone());
+        let leader = leader.or_else(|| self.following.leader().cloned());
+        let address = leader.as_ref().and_then(|name| self.address_of(name));
+        News::NotLeader { leader, address }
+    }
+
+    /// Answers held questions that have news or have waited long enough.
+    fn answer_held(&mut self) {
+        let now = now_ms();
+        let leads = self.leads(now);
+        let still = std::mem::take(&mut self.held);
+        for held in still {
+            let listed = self.state.view.get(&held.follow.host.name) == Some(&held.follow.host);
+            let due = held.follow.applied < self.state.index || now >= held.until;
+            if self.duties.is_none() || (now >= held.until && !(leads && listed)) {
+                reply(held.port, Response::News(self.redirect()));
+            } else if leads && listed && due {
+                let news = self.updates_after(held.follow.applied);
+                reply(held.port, Response::News(news));
+            } else {
+                self.held.push(held);
+            }
+        }
+    }
+
+    fn updates_after(&self, applied: u64) -> News {
+        let remaining_ms = lease::TERM_MS;
+        let index = self.state.index;
+        let behind = index.saturating_sub(applied);
+        let node = self.group.as_ref().and_then(Group::node);
+        let entries: Option<Vec<Update>> =
+            node.filter(|_| behind <= MAX_UPDATES).and_then(|node| {
+                let wanted = applied + 1..=index;
+                wanted
+                    .map(|index| {
+                        node.log().get(index).map(|entry| Update {
+                            index,
+                            command: command_of(entry),
+                        })
+                    })
+                    .collect()
+            });
+        match entries {
+            Some(updates) => News::Updates {
+                updates,
+                index,
+                remaining_ms,
+            },
+            None => News::State {
+                state: Box::new(self.state.clone()),
+                remaining_ms,
+            },
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // State
+
+    fn work(&mut self, work: Work) {
+        for envelope in work.sends {
+            self.send_envelope(envelope);
+        }
+        if let Some(snapshot) = work.restored
+            && let Some(state) = state_of(&snapshot)
+        {
+            self.replace_state(state);
+        }
+        for entry in work.applied {
+            let command = command_of(&entry);
+            let outcome = if entry.index > self.state.index {
+                self.apply(entry.index, command.as_ref())
+            } else {
+                Reply::Stale
+            };
+            if let Some(group) = &mut self.group {
+                group.settle(&entry, outcome);
+            }
+        }
+    }
+
+    fn replace_state(&mut self, state: State) {
+        if state.index > self.state.index {
+            self.state = state;
+        }
+    }
+
+    fn apply(&mut self, index: u64, command: Option<&Command>) -> Reply {
+        let outcome = self.state.apply(index, command);
+        if let Some(command) = command {
+            self.log_command(index, command, &outcome);
+        }
+        outcome
+    }
+
+    fn log_command(&self, index: u64, command: &Command, outcome: &Reply) {
+        let log = &self.timeline;
+        match (command, outcome) {
+            (Command::Change(change), Reply::Change(Outcome::Accepted { revision, .. })) => {
+                let (kind, name) = (&change.id.kind, &change.id.name);
+                let fields: [(&str, &dyn std::fmt::Display); 4] = [
+                    ("kind", kind),
+                    ("name", name),
+                    ("revision", revision),
+                    ("index", &index),
+                ];
+                log.emit(Event::ChangeAccepted, &fields);
+            }
+            (Command::Change(change), Reply::Change(Outcome::Refused { error, .. })) => {
+                let (kind, name) = (&change.id.kind, &change.id.name);
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("kind", kind), ("name", name), ("error", error)];
+                log.emit(Event::ChangeRefused, &fields);
+            }
+            (Command::HostUp(host), Reply::Done) => {
+                log.emit(Event::HostUp, &[("peer", &host.name), ("index", &index)]);
+            }
+            (Command::HostDown { name, .. }, Reply::Done) => {
+                log.emit(Event::HostDown, &[("peer", name), ("index", &index)]);
+            }
+            (Command::Announce(announcement), _) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] = [
+                    ("database", &announcement.database),
+                    ("member", &announcement.member),
+                ];
+                log.emit(Event::MemberAnnounced, &fields);
+            }
+            (
+                Command::BeginPromotion {
+                    database,
+                    promotion,
+                },
+                Reply::Done,
+            ) => {
+                let fields: [(&str, &dyn std::fmt::Display); 3] = [
+                    ("database", database),
+                    ("term", &promotion.term),
+                    ("executor", &promotion.executor),
+                ];
+                log.emit(Event::PromotionBegun, &fields);
+            }
+            (
+                Command::FinishPromotion {
+                    database,
+                    term,
+                    member,
+                },
+                Reply::Done,
+            ) => {
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("database", database), ("term", term), ("member", member)];
+                log.emit(Event::PromotionDone, &fields);
+            }
+            (Command::Place { place, database }, _) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("workspace", &place.workspace), ("database", database)];
+                log.emit(Event::Placed, &fields);
+            }
+            _ => {}
+        }
+    }
+
+    fn publish(&mut self) {
+        let lease = self.following.lease();
+        let key = (self.state.index, lease.until(), self.draining);
+        let holds = lease.is_valid(now_ms());
+        if holds != self.had_lease {
+            self.had_lease = holds;
+            let event = if holds {
+                Event::LeaseHeld
+            } else {
+                Event::LeaseLost
+            };
+            let index = self.state.index;
+            self.timeline.emit(event, &[("index", &index)]);
+        }
+        if self.published == Some(key) {
+            return;
+        }
+        self.published = Some(key);
+        self.publish.send_replace(Arc::new(World {
+            state: self.state.clone(),
+            lease,
+            draining: self.draining,
+        }));
+    }
+
+    fn status(&self) -> Status {
+        let node = self.group.as_ref().and_then(Group::node);
+        let own: Option<&Id> = node.map(hemlockcrank_core::consensus::Node::id);
+        let role: Name = match (&self.group, node) {
+            (None, _) => "none".into(),
+            (Some(_), None) => "fresh".into(),
+            (_, Some(node)) if own.is_some_and(|id| node.log().config().learners.contains(id)) => {
+                "learner".into()
+            }
+            (_, Some(node)) => node.role().to_string().into(),
+        };
+        let known = node
+            .and_then(|node| node.leader())
+            .map(|id| id.host.clone());
+        let voters = node.map_or_else(Vec::new, |node| {
+            let voters = node.log().config().voters.iter();
+            voters.map(|id| id.host.clone()).collect()
+        });
+        Status {
+            host: self.host.name.clone(),
+            role,
+            term: node.map_or(0, hemlockcrank_core::consensus::Node::term),
+            leader: known.or_else(|| self.following.leader().cloned()),
+            voters,
+            applied: self.state.index,
+            lease_ms: self.following.lease().remaining(now_ms()),
+            hosts: self.progress(),
+        }
+    }
+
+    fn progress(&self) -> Vec<Progress> {
+        match &self.duties {
+            Some(duties) => duties.progress(&self.state),
+            None => Duties::default().progress(&self.state),
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Sending
+
+    fn send_envelope(&self, envelope: Envelope) {
+        if let Some(address) = self.address_of(&envelope.to.host) {
+            self.send(address, Request::Consensus(envelope));
+        }
+    }
+
+    fn send(&self, address: SocketAddr, request: Request) {
+        let peers = Arc::clone(&self.peers);
+        tokio::spawn(async move {
+            let _ = peers.call(address, &request, CALL_LIMIT).await;
+        });
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        match self.redirect() {
+            News::NotLeader { address, .. } => address,
+            News::Updates { .. } | News::State { .. } => None,
+        }
+    }
+
+    fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        let listed = self.settings.peers.iter().find(|peer| &*peer.host == name);
+        let listed = listed.map(|peer| peer.address);
+        listed.or_else(|| self.state.view.get(name).map(|host| host.peer))
+    }
+}
+
+fn name_seed(name: &str) -> u64 {
+    name.bytes()
+        .fold(0, |seed: u64, byte| seed.wrapping_mul(31) + u64::from(byte))
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/daemon.rs
@@ -0,0 +1,207 @@
+//! All parts of one host, started and stopped together.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use hemlockcrank_core::{membership::Host, state::Command};
+use hemlockcrank_wire::{Frame, Request, Response};
+use miette::Diagnostic;
+use thiserror::Error;
+use tokio::{net::TcpListener, task::JoinSet};
+
+use crate::{
+    caller,
+    clock::wall_ms,
+    context::Context,
+    control::{self, StartError},
+    event::{Event, Timeline},
+    http,
+    limits::Limits,
+    metrics::{Metrics, MetricsError},
+    peers::Peers,
+    settings::Settings,
+    upstream::{Source, Upstreams},
+    watcher::Watcher,
+};
+
+/// Interval between two looks at the sessions that remain.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Time that a host stays after it left the view, to hand over what it owned.
+const LINGER: Duration = Duration::from_millis(700);
+
+/// A daemon that does not start.
+#[derive(Debug, Error, Diagnostic)]
+pub enum DaemonError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address} for {face}: {source}")]
+    #[diagnostic(code(daemon::listen), help("is another process using the address?"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Which face.
+        face: &'static str,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Control state does not start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Control(#[from] StartError),
+    /// Metrics do not start.
+    #[error(transparent)]
+    #[diagnostic(code(daemon::metrics))]
+    Metrics(#[from] MetricsError),
+}
+
+/// A running host; stops at once when dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    context: Arc<Context>,
+    tasks: JoinSet<()>,
+}
+
+impl Daemon {
+    /// Starts all parts on the present runtime.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] when an address or the data folder cannot be used.
+    pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
+        let settings = Arc::new(settings);
+        let callers = listen(settings.listen.caller, "callers").await?;
+        let peer_listener = listen(settings.listen.peer, "peers").await?;
+        let operators = listen(settings.listen.operator, "operators").await?;
+        let timeline = Arc::new(Timeline::new(settings.host.clone()));
+        let peers = Arc::new(Peers::new(Arc::clone(&timeline), &settings.secrets.peer));
+        let host = Host {
+            name: settings.host.clone(),
+            incarnation: wall_ms(),
+            zone: settings.zone.clone(),
+            peer: settings.peer_address(),
+            operator: settings.listen.operator,
+        };
+        let control = control::start(
+            Arc::clone(&settings),
+            host,
+            Arc::clone(&peers),
+            Arc::clone(&timeline),
+        )
+        .await?;
+        let limits = Limits::new(control.clone(), Arc::clone(&peers));
+        let source = Source {
+            from: settings.listen.peer.ip(),
+            credential: settings.upstream.clone(),
+            message_bytes: settings.limits.message_bytes,
+        };
+        let context = Arc::new(Context {
+            settings,
+            control,
+            timeline,
+            peers,
+            upstreams: Upstreams::new(source),
+            limits: Arc::clone(&limits),
+            metrics: Metrics::new()?,
+            next_session: AtomicU64::new(0),
+            sessions: AtomicUsize::new(0),
+            cancels: Mutex::new(HashMap::new()),
+        });
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve_peers(Arc::clone(&context), peer_listener));
+        tasks.spawn(http::serve(Arc::clone(&context), operators));
+        tasks.spawn(caller::serve(Arc::clone(&context), callers));
+        tasks.spawn(Watcher::default().run(Arc::clone(&context)));
+        tasks.spawn(limits.run());
+        let listen = &context.settings.listen;
+        let fields: [(&str, &dyn std::fmt::Display); 3] = [
+            ("caller", &listen.caller),
+            ("peer", &listen.peer),
+            ("operator", &listen.operator),
+        ];
+        context.timeline.emit(Event::Started, &fields);
+        Ok(Self { context, tasks })
+    }
+
+    /// What the parts share.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Stops gracefully: no new caller, open transactions finish, answers leave whole, then the host
+    /// leaves the view.
+    pub async fn shut_down(mut self) {
+        let context = Arc::clone(&self.context);
+        context.timeline.emit(Event::Draining, &[]);
+        context.control.drain();
+        let limit = Duration::from_millis(context.settings.limits.drain_ms);
+        let drained = async {
+            while context.sessions.load(Ordering::Relaxed) > 0 {
+                tokio::time::sleep(DRAIN_LOOK).await;
+            }
+        };
+        let _ = tokio::time::timeout(limit, drained).await;
+        context.control.leave();
+        let host = context.control.host();
+        let command = Command::HostDown {
+            name: host.name.clone(),
+            incarnation: host.incarnation,
+        };
+        let _ = context.control.command(command).await;
+        tokio::time::sleep(LINGER).await;
+        context.timeline.emit(Event::Stopped, &[]);
+        self.tasks.shutdown().await;
+        context.control.stop().await;
+    }
+
+    /// Stops at once, as a crash would, and waits until the control thread has let go of its files.
+    pub async fn kill(mut self) {
+        self.tasks.shutdown().await;
+        self.context.control.stop().await;
+    }
+}
+
+async fn listen(address: SocketAddr, face: &'static str) -> Result<TcpListener, DaemonError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| DaemonError::Listen {
+        address,
+        face,
+        source,
+    })
+}
+
+async fn serve_peers(context: Arc<Context>, listener: TcpListener) {
+    let proof = context.peers.proof();
+    hemlockcrank_wire::serve(listener, proof, move |call| {
+        let context = Arc::clone(&context);
+        async move {
+            context.timeline.witness(call.stamp);
+            let body = answer(&context, call.body).await;
+            Frame {
+                stamp: context.timeline.stamp(),
+                body,
+            }
+        }
+    })
+    .await;
+}
+
+async fn answer(context: &Context, request: Request) -> Response {
+    match request {
+        Request::Borrow {
+            workspace,
+            want,
+            settled,
+        } => Response::Allotment(context.limits.lend(&workspace, want, &settled).await),
+        Request::HandOver { workspace, index } => {
+            Response::HandOver(context.limits.hand_over(&workspace, index).await)
+        }
+        Request::Events => Response::Events(context.timeline.records()),
+        other => context.control.answer(other).await,
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/http.rs
@@ -0,0 +1,60 @@
+//! The HTTP face: operators, the platform's announcements, the balancer and metrics.
+//!
+//! | path | who | what |
+//! |---|---|---|
+//! | `POST /v1/changes` | operator | submit, revise or withdraw a record |
+//! | `GET /v1/records`, `GET /v1/records/KIND/NAME` | operator | records as they stand |
+//! | `GET /v1/status` | operator | this host and the control group |
+//! | `GET /v1/force/INDEX` | operator | whether every live host has a change in force |
+//! | `GET /v1/databases` | operator | databases, members, primaries |
+//! | `POST /v1/switchover` | operator | planned change of primary |
+//! | `GET /v1/timeline` | operator | recent events of all hosts |
+//! | `POST /v1/announcements` | platform | a member announces itself |
+//! | `GET /ready`, `GET /live`, `GET /metrics` | anybody | balancer and scraper |
+//!
+//! Every error is JSON: `{"error": {"code": ..., "message": ...}}`.
+
+mod answer;
+mod change;
+mod cluster;
+mod platform;
+
+use std::sync::Arc;
+
+use axum::{
+    Router,
+    extract::DefaultBodyLimit,
+    routing::{get, post},
+};
+use tokio::net::TcpListener;
+
+use crate::context::Context;
+
+pub use answer::{ErrorBody, ErrorDetail};
+pub use change::ChangeRequest;
+pub use cluster::{
+    DatabaseView, ForceView, MemberView, RecordView, SwitchoverRequest, TimelineView,
+};
+
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 256 * 1024;
+
+/// Serves until dropped.
+pub(crate) async fn serve(context: Arc<Context>, listener: TcpListener) {
+    let router = Router::new()
+        .route("/v1/changes", post(change::change))
+        .route("/v1/records", get(cluster::records))
+        .route("/v1/records/{kind}/{name}", get(cluster::record))
+        .route("/v1/status", get(cluster::status))
+        .route("/v1/force/{index}", get(cluster::force))
+        .route("/v1/databases", get(cluster::databases))
+        .route("/v1/switchover", post(cluster::switchover))
+        .route("/v1/timeline", get(cluster::timeline))
+        .route("/v1/announcements", post(platform::announce))
+        .route("/ready", get(platform::ready))
+        .route("/live", get(platform::live))
+        .route("/metrics", get(platform::metrics))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(context);
+    let _ = axum::serve(listener, router).await;
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/http/answer.rs
@@ -0,0 +1,83 @@
+//! Answers, errors and credentials.
+
+use axum::{
+    Json,
+    http::{HeaderMap, StatusCode, header::AUTHORIZATION},
+    response::{IntoResponse, Response},
+};
+use hemlockcrank_core::Name;
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+
+/// Body of every error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+/// What went wrong.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorDetail {
+    /// Stable code.
+    pub code: Name,
+    /// For the reader.
+    pub message: Name,
+}
+
+/// An error on its way out.
+#[derive(Debug)]
+pub(crate) struct Problem {
+    status: StatusCode,
+    body: ErrorBody,
+}
+
+impl Problem {
+    pub(crate) fn new(status: StatusCode, code: &str, message: impl std::fmt::Display) -> Self {
+        let error = ErrorDetail {
+            code: code.into(),
+            message: message.to_string().into(),
+        };
+        Self {
+            status,
+            body: ErrorBody { error },
+        }
+    }
+
+    pub(crate) fn not_found(what: impl std::fmt::Display) -> Self {
+        Self::new(StatusCode::NOT_FOUND, "not_found", what)
+    }
+
+    pub(crate) fn bad_request(what: impl std::fmt::Display) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, "bad_request", what)
+    }
+
+    pub(crate) fn no_leader() -> Self {
+        let message = "no control leader answers; nothing was done";
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, "no_leader", message)
+    }
+}
+
+impl IntoResponse for Problem {
+    fn into_response(self) -> Response {
+        (self.status, Json(self.body)).into_response()
+    }
+}
+
+/// Checks a bearer token in constant time.
+pub(crate) fn authorize(headers: &HeaderMap, secret: &str) -> Result<(), Problem> {
+    let given = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .unwrap_or_default();
+    if bool::from(given.as_bytes().ct_eq(secret.as_bytes())) {
+        return Ok(());
+    }
+    let message = "a valid bearer token is required";
+    Err(Problem::new(
+        StatusCode::UNAUTHORIZED,
+        "unauthorized",
+        message,
+    ))
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/http/cluster.rs
@@ -0,0 +1,268 @@
+//! Records, hosts, databases and the time line, for operators.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Json,
+    extract::{Path, State, rejection::JsonRejection},
+    http::HeaderMap,
+};
+use hemlockcrank_core::{
+    Name,
+    record::{Id, Kind, Record},
+};
+use hemlockcrank_wire::{EventRecord, Request, Response as PeerResponse};
+use serde::{Deserialize, Serialize};
+
+use super::answer::{Problem, authorize};
+use crate::{context::Context, control::Status};
+
+/// Longest wait for one host's events.
+const EVENTS_LIMIT: Duration = Duration::from_millis(800);
+
+/// One record as shown.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordView {
+    /// Kind.
+    pub kind: Kind,
+    /// Name.
+    pub name: Name,
+    /// Schema version of the text.
+    pub schema: u32,
+    /// Revision.
+    pub revision: u64,
+    /// Whether it was withdrawn.
+    pub withdrawn: bool,
+    /// Log index of the last change.
+    pub index: u64,
+    /// Text as accepted.
+    pub text: Arc<str>,
+}
+
+/// Whether a change is in force everywhere.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForceView {
+    /// Log index of the change.
+    pub index: u64,
+    /// Whether every live host has it in force.
+    pub in_force: bool,
+    /// Hosts that do not have it yet.
+    pub waiting: Vec<Name>,
+}
+
+/// One member as shown.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberView {
+    /// Name.
+    pub name: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Address.
+    pub address: std::net::SocketAddr,
+    /// Whether it answers this host; `None` when this host does not ask it.
+    pub reachable: Option<bool>,
+    /// Term that it has adopted.
+    pub adopted: Option<u64>,
+    /// Term and index of its last log entry.
+    pub last: Option<(u64, u64)>,
+}
+
+/// One database as shown.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DatabaseView {
+    /// Name.
+    pub name: Name,
+    /// Service.
+    pub service: Name,
+    /// Term.
+    pub term: u64,
+    /// Primary.
+    pub primary: Option<Name>,
+    /// Term of a change of primary under way.
+    pub promotion: Option<u64>,
+    /// Members.
+    pub members: Vec<MemberView>,
+}
+
+/// A planned change of primary.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SwitchoverRequest {
+    /// Database.
+    pub database: Name,
+    /// Member that should become primary.
+    pub member: Name,
+}
+
+/// Events of all hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TimelineView {
+    /// Events in causal order.
+    pub events: Vec<EventRecord>,
+    /// Hosts that did not answer.
+    pub missing: Vec<Name>,
+}
+
+impl From<&Record> for RecordView {
+    fn from(record: &Record) -> Self {
+        Self {
+            kind: record.id.kind,
+            name: record.id.name.clone(),
+            schema: record.schema,
+            revision: record.revision,
+            withdrawn: record.body.is_none(),
+            index: record.index,
+            text: record.text.clone(),
+        }
+    }
+}
+
+pub(crate) async fn records(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+) -> Result<Json<Vec<RecordView>>, Problem> {
+    authorize(&headers, &context.settings.secrets.operator)?;
+    let world = context.control.world();
+    Ok(Json(world.state.records.iter().map(Into::into).collect()))
+}
+
+pub(crate) async fn record(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+    Path((kind, name)): Path<(String, String)>,
+) -> Result<Json<RecordView>, Problem> {
+    authorize(&headers, &context.settings.secrets.operator)?;
+    let kind: Kind = kind
+        .parse()
+        .map_err(|_| Problem::bad_request(format!("`{kind}` is no kind of record")))?;
+    let world = context.control.world();
+    let found = world.state.records.get(&Id::new(kind, name.as_str()));
+    let record = found.ok_or_else(|| Problem::not_found(format!("no {kind} `{name}`")))?;
+    Ok(Json(record.into()))
+}
+
+pub(crate) async fn status(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+) -> Result<Json<Status>, Problem> {
+    authorize(&headers, &context.settings.secrets.operator)?;
+    let mut status = context
+        .control
+        .status()
+        .await
+        .ok_or_else(Problem::no_leader)?;
+    if let Some(PeerResponse::Progress(Some(hosts))) =
+        context.control.ask_leader(Request::Progress).await
+    {
+        status.hosts = hosts;
+    }
+    Ok(Json(status))
+}
+
+pub(crate) async fn force(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+    Path(index): Path<u64>,
+) -> Result<Json<ForceView>, Problem> {
+    authorize(&headers, &context.settings.secrets.operator)?;
+    let Some(PeerResponse::Progress(Some(hosts))) =
+        context.control.ask_leader(Request::Progress).await
+    else {
+        return Err(Problem::no_leader());
+    };
+    let behind = |applied: Option<u64>| applied.is_none_or(|applied| applied < index);
+    let waiting: Vec<Name> = hosts
+        .into_iter()
+        .filter(|host| behind(host.applied))
+        .map(|host| host.host)
+        .collect();
+    Ok(Json(ForceView {
+        index,
+        in_force: waiting.is_empty(),
+        waiting,
+    }))
+}
+
+pub(crate) async fn databases(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+) -> Result<Json<Vec<DatabaseView>>, Problem> {
+    authorize(&headers, &context.settings.secrets.operator)?;
+    let world = context.control.world();
+    let shown = world.state.directory.iter().map(|(name, database)| {
+        let upstream = context.upstreams.get(&world, name);
+        let known = upstream.map(|u| u.tracker.known()).unwrap_or_default();
+        let members = database.members.iter().map(|(member, data)| {
+            let sample = known.members.get(member);
+            MemberView {
+                name: member.clone(),
+                zone: data.zone.clone(),
+                address: data.address,
+                reachable: sample.map(|sample| sample.reachable),
+                adopted: sample.map(|sample| sample.status.adopted),
+                last: sample.map(|s| (s.status.last.term, s.status.last.index)),
+            }
+        });
+        DatabaseView {
+            name: name.clone(),
+            service: database.service.clone(),
+            term: database.term,
+            primary: database.primary.clone(),
+            promotion: database.promotion.as_ref().map(|p| p.term),
+            members: members.collect(),
+        }
+    });
+    Ok(Json(shown.collect()))
+}
+
+pub(crate) async fn switchover(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+    body: Result<Json<SwitchoverRequest>, JsonRejection>,
+) -> Result<Json<SwitchoverRequest>, Problem> {
+    authorize(&headers, &context.settings.secrets.operator)?;
+    let Json(request) = body.map_err(|error| Problem::bad_request(error.body_text()))?;
+    let world = context.control.world();
+    let SwitchoverRequest { database, member } = request.clone();
+    let known = world.state.directory.get(&database);
+    if !known.is_some_and(|database| database.members.contains_key(&member)) {
+        return Err(Problem::not_found("no such member of such a database"));
+    }
+    let asked = Request::SwitchOver { database, member };
+    match context.control.ask_leader(asked).await {
+        Some(PeerResponse::Noted) => Ok(Json(request)),
+        _ => Err(Problem::no_leader()),
+    }
+}
+
+pub(crate) async fn timeline(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+) -> Result<Json<TimelineView>, Problem> {
+    authorize(&headers, &context.settings.secrets.operator)?;
+    let world = context.control.world();
+    let own = &context.control.host().name;
+    let others = world.state.view.iter().filter(|host| host.name != *own);
+    let asked = others.map(|host| {
+        let (context, host) = (Arc::clone(&context), host.clone());
+        async move {
+            let call = context
+                .peers
+                .call(host.peer, &Request::Events, EVENTS_LIMIT);
+            (host.name, call.await)
+        }
+    });
+    let mut events = context.timeline.records();
+    let mut missing = Vec::new();
+    for (host, answer) in futures_util::future::join_all(asked).await {
+        match answer {
+            Ok(PeerResponse::Events(more)) => events.extend(more),
+            _ => missing.push(host),
+        }
+    }
+    let listed = |name: &Name| world.state.view.get(name).is_some();
+    let gone = context.settings.peers.iter().map(|peer| &peer.host);
+    missing.extend(gone.filter(|name| !listed(name)).cloned());
+    events.sort_by(|a, b| (a.stamp, &a.host).cmp(&(b.stamp, &b.host)));
+    Ok(Json(TimelineView { events, missing }))
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/http/platform.rs
@@ -0,0 +1,104 @@
+//! Announcements, the balancer's question and metrics.
+
+use std::sync::Arc;
+
+use axum::{
+    Json,
+    extract::{Query, State, rejection::JsonRejection},
+    http::{HeaderMap, StatusCode},
+};
+use hemlockcrank_core::{directory::Announcement, state::Command};
+use serde::Deserialize;
+
+use super::answer::{Problem, authorize};
+use crate::context::Context;
+
+/// Most members that a database may have.
+const MAX_MEMBERS: u32 = 9;
+/// Longest name in an announcement, in bytes.
+const MAX_NAME_BYTES: usize = 128;
+
+pub(crate) async fn announce(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+    body: Result<Json<Announcement>, JsonRejection>,
+) -> Result<StatusCode, Problem> {
+    authorize(&headers, &context.settings.secrets.platform)?;
+    let Json(announcement) = body.map_err(|error| Problem::bad_request(error.body_text()))?;
+    check(&announcement)?;
+    let world = context.control.world();
+    let known = world.state.directory.get(&announcement.database);
+    if known.is_some_and(|database| !database.admits(&announcement)) {
+        let message = "the database has another service, or no room for this member";
+        return Err(Problem::new(StatusCode::CONFLICT, "conflict", message));
+    }
+    if !world.state.directory.is_news(&announcement) {
+        return Ok(StatusCode::OK);
+    }
+    let command = Command::Announce(announcement);
+    match context.control.command(command).await {
+        Ok(_) => Ok(StatusCode::OK),
+        Err(_) => Err(Problem::no_leader()),
+    }
+}
+
+fn check(announcement: &Announcement) -> Result<(), Problem> {
+    let names = [
+        &announcement.service,
+        &announcement.database,
+        &announcement.member,
+        &announcement.zone,
+    ];
+    let plain = |name: &str| {
+        let sized = (1..=MAX_NAME_BYTES).contains(&name.len());
+        sized && !name.chars().any(|c| c.is_control() || c == '\'')
+    };
+    if !names.iter().all(|name| plain(name)) {
+        let message = "names have 1 to 128 bytes, no control characters and no quotes";
+        return Err(Problem::bad_request(message));
+    }
+    if !(1..=MAX_MEMBERS).contains(&announcement.members) {
+        return Err(Problem::bad_request("field `members` must be from 1 to 9"));
+    }
+    if announcement.connections == 0 || announcement.slots == 0 {
+        let message = "fields `connections` and `slots` must be 1 or more";
+        return Err(Problem::bad_request(message));
+    }
+    Ok(())
+}
+
+#[derive(Debug, Default, Deserialize)]
+pub(crate) struct ReadyQuery {
+    #[serde(default)]
+    open: Option<String>,
+}
+
+/// 200 when new callers are welcome. `?open` asks for open routes only, which need no lease.
+pub(crate) async fn ready(
+    State(context): State<Arc<Context>>,
+    Query(query): Query<ReadyQuery>,
+) -> (StatusCode, &'static str) {
+    let world = context.control.world();
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    if world.draining {
+        return (unavailable, "draining\n");
+    }
+    if !world.state.records.zone_in_service(&context.settings.zone) {
+        return (unavailable, "zone out of service\n");
+    }
+    if world.has_lease() {
+        return (StatusCode::OK, "ready\n");
+    }
+    if query.open.is_some() && world.state.index > 0 {
+        return (StatusCode::OK, "open routes only\n");
+    }
+    (unavailable, "no lease\n")
+}
+
+pub(crate) async fn live() -> &'static str {
+    "live\n"
+}
+
+pub(crate) async fn metrics(State(context): State<Arc<Context>>) -> String {
+    context.metrics.render()
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/limits.rs
@@ -0,0 +1,316 @@
+//! Fleet-wide rates: this host as borrower and as owner.
+//!
+//! [`Limits::admit`] spends a token of a workspace, asking its owner for more where there is none.
+//! [`Limits::lend`] and [`Limits::hand_over`] are the owner's side, called by peers; both run on traffic
+//! threads, the control thread is not involved.
+
+mod tenure;
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use hemlockcrank_core::{
+    Name,
+    allotment::{Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Take},
+    lease,
+    record::Rate,
+};
+use hemlockcrank_wire::{Request, Response};
+use thiserror::Error;
+use tokio::sync::Notify;
+
+use crate::{
+    clock::now_ms,
+    control::{Control, World},
+    peers::Peers,
+};
+use tenure::{Cause, Tenures};
+
+/// Pause after an owner that did not answer or may not lend yet.
+const CLOSED_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for an owner's answer.
+const BORROW_LIMIT: Duration = Duration::from_millis(300);
+/// Longest wait for a token that the owner expects soon, in milliseconds.
+const EMPTY_PATIENCE_MS: u64 = 250;
+/// Interval at which unused tokens are looked for.
+const SWEEP: Duration = Duration::from_millis(100);
+/// Time until which an old owner and all its loans may act after a view change, in milliseconds.
+const OLD_OWNER_MS: u64 = lease::TERM_MS + LOAN_MS + LOAN_MARGIN_MS;
+
+/// Why a statement gets no token. It was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Refusal {
+    /// The workspace is at its rate.
+    #[error("the workspace is over its rate")]
+    OverRate,
+    /// The owner of the rate was not reached in time.
+    #[error("the owner of the workspace's rate was not reached")]
+    OwnerUnreachable,
+}
+
+#[derive(Debug, Default)]
+struct Borrower {
+    purse: Mutex<Purse>,
+    waiting: AtomicU64,
+    answered: Notify,
+}
+
+/// All purses and all buckets of this host.
+#[derive(Debug)]
+pub struct Limits {
+    control: Control,
+    peers: Arc<Peers>,
+    borrowers: Mutex<HashMap<Name, Arc<Borrower>>>,
+    buckets: Mutex<HashMap<Name, Bucket>>,
+    tenures: Mutex<Tenures>,
+}
+
+impl Limits {
+    /// No token yet.
+    pub fn new(control: Control, peers: Arc<Peers>) -> Arc<Self> {
+        Arc::new(Self {
+            control,
+            peers,
+            borrowers: Mutex::default(),
+            buckets: Mutex::default(),
+            tenures: Mutex::default(),
+        })
+    }
+
+    /// Keeps tenures and unused tokens in order, until dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut watch = self.control.watch();
+        loop {
+            let world = watch.borrow_and_update().clone();
+            let host = &self.control.host().name;
+            lock(&self.tenures).note(now_ms(), world.state.index, &world.state.view, host);
+            self.give_back_unused(&world);
+            tokio::select! {
+                changed = watch.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = tokio::time::sleep(SWEEP) => {}
+            }
+        }
+    }
+
+    /// Spends a token of `workspace`, waiting for one until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`]; the statement is not run.
+    pub async fn admit(self: &Arc<Self>, workspace: &Name, deadline: u64) -> Result<(), Refusal> {
+        let borrower = self.borrower(workspace);
+        let mut refusal = Refusal::OwnerUnreachable;
+        loop {
+            let answered = borrower.answered.notified();
+            let now = now_ms();
+            let ask = {
+                let mut purse = lock(&borrower.purse);
+                if purse.take(now) == Take::Admitted {
+                    return Ok(());
+                }
+                let waiting = borrower.waiting.load(Ordering::Relaxed);
+                purse.ask(now, waiting + 1)
+            };
+            if now >= deadline {
+                if ask.is_some() {
+                    lock(&borrower.purse).answer(now, None);
+                }
+                return Err(refusal);
+            }
+            let left = Duration::from_millis(deadline - now);
+            let Some(ask) = ask else {
+                let _counted = Counted::new(&borrower.waiting);
+                let _ = tokio::time::timeout(left, answered).await;
+                continue;
+            };
+            let answer = self.borrow(workspace, ask.want, ask.settled).await;
+            lock(&borrower.purse).answer(ask.asked_at, answer);
+            borrower.answered.notify_waiters();
+            match answer {
+                Some(Answer::Granted(_)) => {}
+                Some(Answer::Empty { retry_after_ms }) => {
+                    refusal = Refusal::OverRate;
+                    let worth_waiting = retry_after_ms <= EMPTY_PATIENCE_MS;
+                    if !worth_waiting || now + retry_after_ms > deadline {
+                        return Err(refusal);
+                    }
+                    tokio::time::sleep(Duration::from_millis(retry_after_ms)).await;
+                }
+                Some(Answer::Closed) | None => tokio::time::sleep(CLOSED_PAUSE).await,
+            }
+        }
+    }
+
+    /// Asks the owner, which may be this host.
+    async fn borrow(
+        self: &Arc<Self>,
+        workspace: &Name,
+        want: u64,
+        settled: Vec<Settlement>,
+    ) -> Option<Answer> {
+        let world = self.control.world();
+        let owner = world.state.view.owner(workspace)?.clone();
+        if owner == self.control.host().name {
+            return Some(self.lend(workspace, want, &settled).await);
+        }
+        let address = world.state.view.get(&owner)?.peer;
+        let request = Request::Borrow {
+            workspace: workspace.clone(),
+            want,
+            settled,
+        };
+        match self.peers.call(address, &request, BORROW_LIMIT).await {
+            Ok(Response::Allotment(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Owner
+
+    /// Lends tokens of a workspace that this host owns.
+    pub async fn lend(
+        self: &Arc<Self>,
+        workspace: &Name,
+        want: u64,
+        settled: &[Settlement],
+    ) -> Answer {
+        let world = self.control.world();
+        let owns = world.state.view.owner(workspace) == Some(&self.control.host().name);
+        let Some(rate) = world.state.records.rate(workspace) else {
+            return Answer::Closed;
+        };
+        if !owns || !world.has_lease() {
+            return Answer::Closed;
+        }
+        if !lock(&self.buckets).contains_key(workspace) {
+            self.open_bucket(&world, workspace, rate).await;
+        }
+        let mut buckets = lock(&self.buckets);
+        let Some(bucket) = buckets.get_mut(workspace) else {
+            return Answer::Closed;
+        };
+        let now = now_ms();
+        bucket.set_rate(now, rate);
+        bucket.borrow(now, want, settled)
+    }
+
+    /// Gives a bucket to its new owner, once this host knows that it is not the owner any more.
+    ///
+    /// Without a bucket only an earlier incarnation of the new owner can have lent; the answer then
+    /// counts the whole burst as lent until such loans have ended.
+    pub async fn hand_over(&self, workspace: &Name, index: u64) -> Option<Handover> {
+        let world = self.control.reached(index).await?;
+        if world.state.view.owner(workspace) == Some(&self.control.host().name) {
+            return None;
+        }
+        let Some(mut bucket) = lock(&self.buckets).remove(workspace) else {
+            return Some(Handover {
+                available_milli: 0,
+                outstanding: u64::MAX,
+            });
+        };
+        Some(bucket.hand_over(now_ms()))
+    }
+
+    /// Starts the bucket of a workspace: full for a new rate, from the old owner where there is one,
+    /// else empty from the moment at which nobody else could lend any more.
+    async fn open_bucket(&self, world: &World, workspace: &Name, rate: Rate) {
+        let tenure = lock(&self.tenures).of(workspace, &self.control.host().name);
+        let Some(tenure) = tenure else {
+            return;
+        };
+        let id = hemlockcrank_core::record::Id::new(
+            hemlockcrank_core::record::Kind::Rate,
+            workspace.clone(),
+        );
+        let accepted_at = world
+            .state
+            .records
+            .get(&id)
+            .map_or(0, |record| record.index);
+        let now = now_ms();
+        let bucket = match tenure.cause {
+            _ if accepted_at > tenure.index => Bucket::full(rate, now),
+            Cause::OwnerLeft => Bucket::empty(rate, tenure.since, tenure.since),
+            Cause::Joined { previous: None } => Bucket::empty(rate, tenure.since, tenure.since),
+            Cause::Joined {
+                previous: Some(previous),
+            } => {
+                let request = Request::HandOver {
+                    workspace: workspace.clone(),
+                    index: tenure.index,
+                };
+                match self.peers.call(previous, &request, BORROW_LIMIT).await {
+                    Ok(Response::HandOver(Some(handover))) => Bucket::resume(rate, now, handover),
+                    _ => Bucket::empty(rate, tenure.since, tenure.since + OLD_OWNER_MS),
+                }
+            }
+        };
+        lock(&self.buckets)
+            .entry(workspace.clone())
+            .or_insert(bucket);
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Borrower
+
+    fn borrower(&self, workspace: &Name) -> Arc<Borrower> {
+        let mut borrowers = lock(&self.borrowers);
+        Arc::clone(borrowers.entry(workspace.clone()).or_default())
+    }
+
+    /// Returns tokens that would end unused, and drops buckets that have another owner.
+    fn give_back_unused(self: &Arc<Self>, world: &World) {
+        let now = now_ms();
+        let within = u64::try_from(SWEEP.as_millis()).unwrap_or(u64::MAX) * 2;
+        let host = &self.control.host().name;
+        let owned = |workspace: &Name| world.state.view.owner(workspace) == Some(host);
+        lock(&self.buckets).retain(|workspace, bucket| owned(workspace) || bucket.is_lent(now));
+        let borrowers: Vec<_> = lock(&self.borrowers).clone().into_iter().collect();
+        for (workspace, borrower) in borrowers {
+            let mut purse = lock(&borrower.purse);
+            if !purse.ends_soon(now, within) {
+                continue;
+            }
+            let Some(settled) = purse.give_back(now) else {
+                continue;
+            };
+            drop(purse);
+            let limits = Arc::clone(self);
+            tokio::spawn(async move {
+                limits.borrow(&workspace, 0, settled).await;
+            });
+        }
+    }
+}
+
+/// Counts a waiting task while it waits.
+struct Counted<'a>(&'a AtomicU64);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicU64) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Counters and gauges by `opentelemetry`, scraped over HTTP.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider as _},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use thiserror::Error;
+
+/// Metrics that cannot be set up.
+#[derive(Debug, Error)]
+#[error("metrics cannot be set up")]
+pub struct MetricsError;
+
+/// All instruments of this process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    reads: Counter<u64>,
+    writes: Counter<u64>,
+    refusals: Counter<u64>,
+    unknown: Counter<u64>,
+    retries: Counter<u64>,
+    waits: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Sets up all instruments.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] when the exporter refuses its registry.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|_| MetricsError)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("hemlockcrank");
+        Ok(Self {
+            reads: meter.u64_counter("hemlockcrank_reads").build(),
+            writes: meter.u64_counter("hemlockcrank_writes").build(),
+            refusals: meter.u64_counter("hemlockcrank_refusals").build(),
+            unknown: meter.u64_counter("hemlockcrank_unknown_outcomes").build(),
+            retries: meter.u64_counter("hemlockcrank_read_retries").build(),
+            waits: meter.f64_histogram("hemlockcrank_wait_seconds").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a read, served by a replica or by the primary.
+    pub fn read(&self, by_primary: bool) {
+        let member = if by_primary { "primary" } else { "replica" };
+        self.reads.add(1, &[KeyValue::new("member", member)]);
+    }
+
+    /// Counts an acknowledged write.
+    pub fn write(&self) {
+        self.writes.add(1, &[]);
+    }
+
+    /// Counts a refusal by its SQLSTATE.
+    pub fn refusal(&self, sqlstate: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("sqlstate", sqlstate)]);
+    }
+
+    /// Counts a write whose outcome stayed unknown.
+    pub fn unknown(&self) {
+        self.unknown.add(1, &[]);
+    }
+
+    /// Counts a read that moved to another member.
+    pub fn retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// Records a wait for tokens and a slot.
+    pub fn wait(&self, seconds: f64) {
+        self.waits.record(seconds, &[]);
+    }
+
+    /// All values in the text format of the scraper.
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/peers.rs
@@ -0,0 +1,67 @@
+//! Calls to other hosts.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use hemlockcrank_core::{Name, record::Digest};
+use hemlockcrank_wire::{CallError, Client, Request, Response};
+
+use crate::event::Timeline;
+
+/// Longest wait for the answer to an ordinary call.
+pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// One client for each peer address.
+#[derive(Debug)]
+pub struct Peers {
+    timeline: Arc<Timeline>,
+    proof: Name,
+    clients: Mutex<HashMap<SocketAddr, Arc<Client>>>,
+}
+
+impl Peers {
+    /// No connection yet. `secret` is the site's peer secret.
+    pub fn new(timeline: Arc<Timeline>, secret: &str) -> Self {
+        Self {
+            timeline,
+            proof: proof(secret),
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Proof of the peer secret that both ends present.
+    pub fn proof(&self) -> Name {
+        self.proof.clone()
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`]; only [`CallError::Lost`] leaves open whether the peer acted.
+    pub async fn call(
+        &self,
+        peer: SocketAddr,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<Response, CallError> {
+        let client = self.client(peer);
+        let frame = client.call(self.timeline.stamp(), request, limit).await?;
+        self.timeline.witness(frame.stamp);
+        Ok(frame.body)
+    }
+
+    fn client(&self, peer: SocketAddr) -> Arc<Client> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh = || Arc::new(Client::new(peer, self.proof.clone()));
+        Arc::clone(clients.entry(peer).or_insert_with(fresh))
+    }
+}
+
+fn proof(secret: &str) -> Name {
+    Digest::of(secret, "peer").to_hex().into()
+}
--- /dev/null
+++ b/crates/hemlockcrank/src/upstream/registry.rs
@@ -0,0 +1,119 @@
+//! All databases that this host routes to, kept in step with the committed directory.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use hemlockcrank_core::{Name, directory::Database, retry::Budget};
+
+use super::{Pool, Source, Tracker};
+use crate::control::World;
+
+/// Connections of each member that stay free for the platform's own use.
+const RESERVED_CONNECTIONS: usize = 1;
+
+/// One database as this host reaches it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Name.
+    pub name: Name,
+    /// What is known of its members.
+    pub tracker: Tracker,
+    /// Connections by member.
+    pub pools: BTreeMap<Name, Arc<Pool>>,
+    /// Retries of reads.
+    pub retries: Mutex<Budget>,
+    addresses: BTreeMap<Name, SocketAddr>,
+}
+
+/// All databases by name.
+#[derive(Debug)]
+pub struct Upstreams {
+    source: Source,
+    databases: Mutex<HashMap<Name, Arc<Upstream>>>,
+}
+
+impl Upstreams {
+    /// None yet.
+    pub fn new(source: Source) -> Self {
+        Self {
+            source,
+            databases: Mutex::default(),
+        }
+    }
+
+    /// Where connections come from.
+    pub fn source(&self) -> &Source {
+        &self.source
+    }
+
+    /// The database as committed in `world`, started if it is new or its members have moved.
+    pub fn get(&self, world: &World, name: &Name) -> Option<Arc<Upstream>> {
+        let database = world.state.directory.get(name)?;
+        let addresses: BTreeMap<Name, SocketAddr> = database
+            .members
+            .iter()
+            .map(|(member, data)| (member.clone(), data.address))
+            .collect();
+        let mut databases = self
+            .databases
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = databases.get(name)
+            && known.addresses == addresses
+        {
+            known.resize(database, world.state.view.len());
+            return Some(Arc::clone(known));
+        }
+        let fresh = Arc::new(self.start(name, database, addresses, world.state.view.len()));
+        databases.insert(name.clone(), Arc::clone(&fresh));
+        Some(fresh)
+    }
+
+    fn start(
+        &self,
+        name: &Name,
+        database: &Database,
+        addresses: BTreeMap<Name, SocketAddr>,
+        hosts: usize,
+    ) -> Upstream {
+        let tracker = Tracker::start(&self.source, name, database.size(), &addresses);
+        let pools = database.members.iter().map(|(member, data)| {
+            let slots = connection_share(data.connections as usize, hosts);
+            let pool = Pool::new(
+                member.clone(),
+                name.clone(),
+                data.address,
+                self.source.clone(),
+                slots,
+            );
+            (member.clone(), pool)
+        });
+        Upstream {
+            name: name.clone(),
+            tracker,
+            pools: pools.collect(),
+            retries: Mutex::default(),
+            addresses,
+        }
+    }
+}
+
+impl Upstream {
+    fn resize(&self, database: &Database, hosts: usize) {
+        for (member, pool) in &self.pools {
+            if let Some(data) = database.members.get(member) {
+                pool.set_slots(connection_share(data.connections as usize, hosts));
+            }
+        }
+    }
+}
+
+/// This host's share of a member's connections, one for its status left out.
+fn connection_share(connections: usize, hosts: usize) -> usize {
+    let hosts = hosts.max(1);
+    let for_callers = connections.saturating_sub(RESERVED_CONNECTIONS + hosts);
+    (for_callers / hosts).max(1)
+}
--- a/crates/hemlockcrank_core/src/allotment/bucket.rs
+++ b/crates/hemlockcrank_core/src/allotment/bucket.rs
@@ -148,6 +148,11 @@
         self.debts.values().map(|debt| debt.amount).sum()
     }
 
+    /// Whether some loan may still be spent.
+    pub fn is_lent(&self, now: u64) -> bool {
+        self.debts.values().any(|debt| debt.ends_at > now)
+    }
+
     /// Whole tokens that could be lent.
     pub fn available(&self) -> u64 {
         self.available_milli / MILLI
--- a/crates/hemlockcrank_core/src/consensus/node.rs
+++ b/crates/hemlockcrank_core/src/consensus/node.rs
@@ -223,6 +223,14 @@
         &self.log
     }
 
+    /// Term and vote, as a durable change.
+    pub fn durable_vote(&self) -> Persist {
+        Persist::Vote {
+            term: self.term,
+            vote: self.vote.clone(),
+        }
+    }
+
     /// Whether an entry of the current term is committed, so that the commit index is current.
     pub fn is_settled(&self) -> bool {
         self.role == Role::Leader && self.log.term_at(self.commit) == Some(self.term)
--- a/crates/hemlockcrank_core/src/queue.rs
+++ b/crates/hemlockcrank_core/src/queue.rs
@@ -192,6 +192,11 @@
         };
     }
 
+    /// Frees a slot that was never used.
+    pub fn forfeit(&mut self) {
+        self.busy = self.busy.saturating_sub(1);
+    }
+
     fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
         let waiting = self.waiting.remove(&ticket)?;
         self.order.remove(&(waiting.start, ticket));
--- a/crates/hemlockcrank_core/src/record.rs
+++ b/crates/hemlockcrank_core/src/record.rs
@@ -96,6 +96,8 @@
     pub schema: u32,
     /// Number of accepted changes to this record.
     pub revision: u64,
+    /// Log index of the last accepted change.
+    pub index: u64,
     /// JSON text as accepted; empty once withdrawn.
     pub text: Arc<str>,
     /// Parsed content; `None` once withdrawn.
--- a/crates/hemlockcrank_core/src/record/store.rs
+++ b/crates/hemlockcrank_core/src/record/store.rs
@@ -63,7 +63,7 @@
         if let Some(answer) = self.answers.get(&change.op) {
             return answer.clone();
         }
-        let outcome = match self.accept(change) {
+        let outcome = match self.accept(index, change) {
             Ok(revision) => Outcome::Accepted { revision, index },
             Err(error) => Outcome::Refused {
                 error,
@@ -129,7 +129,7 @@
         )
     }
 
-    fn accept(&mut self, change: &Change) -> Result<u64, StoreError> {
+    fn accept(&mut self, index: u64, change: &Change) -> Result<u64, StoreError> {
         if !is_valid_name(&change.id.name) || !is_valid_name(&change.op) {
             return Err(StoreError::Name);
         }
@@ -167,6 +167,7 @@
             id: change.id.clone(),
             schema,
             revision: revision + 1,
+            index,
             text,
             body,
         };
--- a/crates/hemlockcrank_core/src/request.rs
+++ b/crates/hemlockcrank_core/src/request.rs
@@ -62,9 +62,9 @@
 /// The marker of one attempt of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Marker {
-    /// Workspace and request id, the primary key.
+    /// Workspace and request id as a literal, the primary key.
     key: String,
-    /// Number of this attempt, unique over hosts and restarts.
+    /// Name of this attempt, unique over hosts and restarts.
     attempt: String,
 }
 
@@ -85,7 +85,7 @@
     pub fn new(workspace: &Name, request: &str, attempt: &str) -> Self {
         Self {
             key: quote(&format!("{workspace}/{request}")),
-            attempt: quote(attempt),
+            attempt: attempt.to_owned(),
         }
     }
 
@@ -96,7 +96,8 @@
 
     /// Claims the request, inside the transaction of the work.
     pub fn claim(&self) -> String {
-        let Self { key, attempt } = self;
+        let Self { key, .. } = self;
+        let attempt = quote(&self.attempt);
         format!("INSERT INTO {MARKER_TABLE} (id, attempt) VALUES ({key}, {attempt})")
     }
 
@@ -107,11 +108,16 @@
         format!("DELETE FROM {MARKER_TABLE} WHERE id = {key} AND attempt = {voided}")
     }
 
-    /// Makes sure that this attempt never commits, or fails because it did.
+    /// Makes sure that this attempt never commits, or fails because the key is taken.
     pub fn void(&self) -> String {
-        let Self { key, attempt } = self;
-        let attempt = attempt.trim_matches('\'');
-        format!("INSERT INTO {MARKER_TABLE} (id, attempt) VALUES ({key}, '{VOID}{attempt}')")
+        let Self { key, .. } = self;
+        let own = quote(&self.own_void());
+        format!("INSERT INTO {MARKER_TABLE} (id, attempt) VALUES ({key}, {own})")
+    }
+
+    /// Content of the attempt column once this attempt is voided.
+    pub fn own_void(&self) -> String {
+        format!("{VOID}{}", self.attempt)
     }
 
     /// Reads the attempt column.
@@ -129,11 +135,6 @@
             Found::Ran
         }
     }
-
-    /// Whether the row is the one that this attempt wrote.
-    pub fn is_own(&self, column: &str) -> bool {
-        quote(column) == self.attempt
-    }
 }
 
 /// A string literal; quotes are doubled.
--- a/crates/hemlockcrank_core/src/statement.rs
+++ b/crates/hemlockcrank_core/src/statement.rs
@@ -102,6 +102,8 @@
     },
     /// Drops all session settings.
     Reset,
+    /// Sends data outside of statements.
+    Copy,
     /// Leaves state on the connection that cannot be carried along.
     Pin,
 }
@@ -122,6 +124,8 @@
     let classes: Vec<Class> = statements.iter().map(classify_one).collect();
     if classes.iter().all(|class| *class == Class::Read) {
         Class::Read
+    } else if classes.contains(&Class::Copy) {
+        Class::Copy
     } else if classes.contains(&Class::Pin) {
         Class::Pin
     } else {
@@ -151,6 +155,7 @@
         } => Class::Rollback,
         Statement::Set(set) => classify_set(set),
         Statement::Discard { .. } | Statement::Reset(_) => Class::Reset,
+        Statement::Copy { .. } => Class::Copy,
         Statement::LISTEN { .. }
         | Statement::UNLISTEN { .. }
         | Statement::Declare { .. }
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -7,7 +7,6 @@
     allotment::{Answer, Handover, Settlement},
     clock::Stamp,
     consensus::{Config, Envelope, Id},
-    directory::Announcement,
     failover::Report,
     membership::Host,
     state::{Command, Reply, State},
@@ -36,8 +35,6 @@
     Follow(Follow),
     /// Asks the leader to commit a command.
     Propose(Command),
-    /// Hands on what a database's member announced.
-    Announce(Announcement),
     /// Asks the owner of a workspace's rate for tokens.
     Borrow {
         /// Workspace.
@@ -56,6 +53,26 @@
     },
     /// Asks for recent events.
     Events,
+    /// Asks the leader how far every live host has come.
+    Progress,
+    /// Asks the leader for a planned change of primary.
+    SwitchOver {
+        /// Database.
+        database: Name,
+        /// Member that should become primary.
+        member: Name,
+    },
+}
+
+/// One live host's progress, as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Host.
+    pub host: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Last log index that it has in force; `None` where the leader has not heard it.
+    pub applied: Option<u64>,
 }
 
 /// A host's question to its parent.
@@ -169,6 +186,8 @@
     Allotment(Answer),
     /// Answer to [`Request::HandOver`]; `None` when the receiver had no bucket or is not ready.
     HandOver(Option<Handover>),
+    /// Answer to [`Request::Progress`]; `None` when the receiver does not lead.
+    Progress(Option<Vec<Progress>>),
     /// Answer to [`Request::Events`].
     Events(Vec<EventRecord>),
     /// The receiver is stopping or cannot answer now; nothing was done.
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -17,7 +17,7 @@
 mod server;
 
 pub use call::{
-    EventRecord, Follow, Formation, Frame, News, ProposeReply, Request, Response, Update,
+    EventRecord, Follow, Formation, Frame, News, Progress, ProposeReply, Request, Response, Update,
 };
 pub use client::{CallError, Client};
 pub use codec::{CodecError, decode, encode};
