--- a/crates/hemlockcrank/src/caller/session.rs
+++ b/crates/hemlockcrank/src/caller/session.rs
@@ -177,7 +177,9 @@
                 return Ok(Ok(()));
             }
             Class::SetOwn { name, value } => {
-                if let Err(failure) = self.own.set(name, value) {
+                if unit.executes
+                    && let Err(failure) = self.own.set(name, value)
+                {
                     return Ok(Err(failure));
                 }
                 return self.answer_own(&unit, "SET", None).await;
--- a/crates/hemlockcrank/src/caller/unit.rs
+++ b/crates/hemlockcrank/src/caller/unit.rs
@@ -59,7 +59,11 @@
             _ => String::new(),
         };
         Ok(Self {
-            class: combine(&reader.classes, reader.executes),
+            class: if reader.executes {
+                combine(&reader.classes)
+            } else {
+                reader.class_unexecuted()
+            },
             simple: false,
             text,
             needs: reader.needs,
@@ -143,6 +147,15 @@
         Ok(())
     }
 
+    /// What a unit needs in which nothing is executed: the proxy for its own settings, else any member.
+    fn class_unexecuted(&self) -> Class {
+        let mut classes = self.local.values().map(|statement| &statement.class);
+        match (classes.next(), classes.next()) {
+            (Some(own @ (Class::SetOwn { .. } | Class::ShowOwn { .. })), None) => own.clone(),
+            _ => Class::Read,
+        }
+    }
+
     /// Notes that a statement of an earlier unit has to be there.
     fn need(&mut self, name: &str, prepared: &HashMap<String, Prepared>) {
         if self.local.contains_key(name) {
@@ -156,10 +169,9 @@
     }
 }
 
-/// What several statements do together.
-fn combine(classes: &[Class], executes: bool) -> Class {
+/// What several executed statements do together.
+fn combine(classes: &[Class]) -> Class {
     match classes {
-        [] if !executes => Class::Read,
         [one] => one.clone(),
         many if many.iter().all(|class| *class == Class::Read) => Class::Read,
         many if many.contains(&Class::Pin) => Class::Pin,
--- a/crates/hemlockcrank/src/control/actor.rs
+++ b/crates/hemlockcrank/src/control/actor.rs
@@ -462,7 +462,7 @@
                 reply(port, answer);
             }
             Request::Borrow { .. } | Request::HandOver { .. } | Request::Events => {
-                reply(port, Response::Unavailable)
+                reply(port, Response::Unavailable);
             }
         }
         Ok(())
--- a/crates/hemlockcrank/src/lib.rs
+++ b/crates/hemlockcrank/src/lib.rs
@@ -18,7 +18,6 @@
 //! ```
 
 mod caller;
-pub mod cli;
 pub mod clock;
 pub mod context;
 pub mod control;
--- a/crates/hemlockcrank/src/main.rs
+++ b/crates/hemlockcrank/src/main.rs
@@ -2,13 +2,12 @@
 //!
 //! Exit status: 0 after a graceful shutdown, 2 for bad settings or arguments, 1 for other failures.
 
+mod cli;
+
 use std::{path::Path, process::ExitCode};
 
-use hemlockcrank::{
-    Daemon, Settings,
-    cli::{Hemlockcrank, HemlockcrankCmd},
-    logging,
-};
+use cli::{Hemlockcrank, HemlockcrankCmd};
+use hemlockcrank::{Daemon, Settings, logging};
 use miette::Report;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -32,14 +31,14 @@
             say(&format!("settings of host `{}` are good", settings.host));
             ExitCode::SUCCESS
         }
-        Err(error) => complain(Report::new(*error), EXIT_USAGE),
+        Err(error) => complain(&Report::new(*error), EXIT_USAGE),
     }
 }
 
 fn run_host(path: &Path) -> ExitCode {
     let settings = match Settings::load(path) {
         Ok(settings) => settings,
-        Err(error) => return complain(Report::new(*error), EXIT_USAGE),
+        Err(error) => return complain(&Report::new(*error), EXIT_USAGE),
     };
     logging::start(settings.log);
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -52,7 +51,7 @@
     let outcome = runtime.block_on(serve(settings));
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
-        Err(report) => complain(report, 1),
+        Err(report) => complain(&report, 1),
     }
 }
 
@@ -74,7 +73,7 @@
 }
 
 #[expect(clippy::print_stderr, reason = "a report to the operator")]
-fn complain(report: Report, status: u8) -> ExitCode {
+fn complain(report: &Report, status: u8) -> ExitCode {
     eprintln!("{report:?}");
     ExitCode::from(status)
 }
--- /dev/null
+++ b/crates/hemlockcrank/tests/processes.rs
@@ -0,0 +1,267 @@
+//! The daemons as separate processes with settings files.
+
+use std::{
+    path::Path,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use hemlockcrank::Settings;
+use hemlockcrank_core::record::Kind;
+use hemlockcrank_standin::{
+    Group, GroupSettings, OPERATOR_TOKEN, PLATFORM_TOKEN, SiteSettings, fresh_folder, host_settings,
+};
+use hemlockctl::Client;
+use tokio_postgres::NoTls;
+
+const WAIT: Duration = Duration::from_secs(30);
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A daemon's process, ended with the test.
+struct Process(Child);
+
+impl Process {
+    fn start(settings: &Settings, folder: &Path) -> Self {
+        std::fs::create_dir_all(folder).expect("folder");
+        let file = folder.join(format!("{}.json", settings.host));
+        let text = serde_json::to_string_pretty(settings).expect("settings as JSON");
+        std::fs::write(&file, text).expect("settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_hemlockcrank"))
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("daemon");
+        Self(child)
+    }
+
+    fn kill(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.0.id().to_string();
+        let sent = Command::new("kill").args([signal, &id]).status();
+        assert!(sent.expect("kill").success());
+    }
+
+    async fn ended(&mut self) -> Option<i32> {
+        let started = Instant::now();
+        while started.elapsed() < WAIT {
+            if let Some(status) = self.0.try_wait().expect("status") {
+                return status.code();
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+struct Site {
+    settings: Vec<Settings>,
+    processes: Vec<Process>,
+    _group: Group,
+    folder: std::path::PathBuf,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.processes.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn start_site() -> Site {
+    let folder = fresh_folder();
+    let site = SiteSettings::new(&["z1", "z2", "z3"], Vec::new());
+    let settings = host_settings(&site, &folder).expect("settings");
+    let processes = settings
+        .iter()
+        .map(|s| Process::start(s, &folder))
+        .collect();
+    let mut group = Group::start(GroupSettings::new("ledger", "ledger-1"))
+        .await
+        .expect("group");
+    let platform = settings.iter().map(|s| s.listen.operator).collect();
+    group.announce_to(platform, PLATFORM_TOKEN, Duration::from_millis(100));
+    let site = Site {
+        settings,
+        processes,
+        _group: group,
+        folder,
+    };
+    let operator = operator(&site, 0);
+    let started = Instant::now();
+    while started.elapsed() < WAIT {
+        let hosts = operator
+            .status()
+            .await
+            .map_or(0, |status| status.hosts.len());
+        let databases = operator.databases().await.unwrap_or_default();
+        if hosts == 3
+            && databases
+                .iter()
+                .any(|d| d.members.len() == 3 && d.primary.is_some())
+        {
+            return site;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    panic!("the site was not ready in time");
+}
+
+fn operator(site: &Site, index: usize) -> Client {
+    let address = site.settings[index].listen.operator;
+    Client::new(&address.to_string(), OPERATOR_TOKEN)
+}
+
+async fn open_workspace(site: &Site) {
+    let operator = operator(site, 0);
+    let submit = async |kind, name: &str, text: &str| {
+        operator.submit(kind, name, 1, text).await.expect("submit")
+    };
+    submit(Kind::Service, "ledger", r#"{"open": false}"#).await;
+    submit(Kind::Workspace, "khedive", r#"{"service": "ledger"}"#).await;
+    let key = r#"{"workspace": "khedive", "secret": "counter-key"}"#;
+    let accepted = submit(Kind::Key, "khedive-1", key).await;
+    operator
+        .wait_in_force(accepted.index, |_| {})
+        .await
+        .expect("in force");
+}
+
+async fn connect(site: &Site, index: usize) -> tokio_postgres::Client {
+    let address = site.settings[index].listen.caller;
+    let url = format!("postgres://khedive:counter-key@{address}/ledger");
+    let (client, connection) = tokio_postgres::connect(&url, NoTls).await.expect("connect");
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    client
+}
+
+async fn save(client: &tokio_postgres::Client, id: &str) {
+    let insert = "INSERT INTO orders (id, sign) VALUES ($1, $2)";
+    let count = client.execute(insert, &[&id, &"brass"]).await;
+    assert_eq!(count.expect("save"), 1);
+}
+
+async fn read(client: &tokio_postgres::Client, id: &str) -> String {
+    let query = "SELECT sign FROM orders WHERE id = $1";
+    let row = client.query_one(query, &[&id]).await.expect("read");
+    row.get(0)
+}
+
+const CREATE: &str = "CREATE TABLE IF NOT EXISTS orders (id text PRIMARY KEY, sign text)";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_before_and_after_a_host_is_killed() {
+    let mut site = start_site().await;
+    open_workspace(&site).await;
+    let client = connect(&site, 0).await;
+    client.batch_execute(CREATE).await.expect("table");
+    save(&client, "order-1").await;
+    assert_eq!(read(&connect(&site, 1).await, "order-1").await, "brass");
+
+    site.processes[0].kill();
+
+    let client = connect(&site, 1).await;
+    save(&client, "order-2").await;
+    let other = connect(&site, 2).await;
+    assert_eq!(read(&other, "order-1").await, "brass");
+    assert_eq!(read(&other, "order-2").await, "brass");
+    let simple = other
+        .simple_query("SELECT sign FROM orders WHERE id = 'order-2'")
+        .await;
+    assert_eq!(simple.expect("simple query").len(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_stop_cuts_no_transaction() {
+    let mut site = start_site().await;
+    open_workspace(&site).await;
+    let mut client = connect(&site, 1).await;
+    client.batch_execute(CREATE).await.expect("table");
+    let transaction = client.transaction().await.expect("begin");
+    transaction
+        .execute(
+            "INSERT INTO orders (id, sign) VALUES ('order-3', 'enamel')",
+            &[],
+        )
+        .await
+        .expect("save");
+
+    site.processes[1].signal("-TERM");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    transaction
+        .execute(
+            "INSERT INTO orders (id, sign) VALUES ('order-4', 'neon')",
+            &[],
+        )
+        .await
+        .expect("a statement of an open transaction");
+    transaction.commit().await.expect("commit");
+
+    assert_eq!(site.processes[1].ended().await, Some(0));
+    let other = connect(&site, 2).await;
+    assert_eq!(read(&other, "order-3").await, "enamel");
+    assert_eq!(read(&other, "order-4").await, "neon");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_was_stopped_serves_nothing_on_its_old_lease() {
+    let site = start_site().await;
+    open_workspace(&site).await;
+    let client = connect(&site, 2).await;
+    client.batch_execute(CREATE).await.expect("table");
+
+    site.processes[2].signal("-STOP");
+    let operator = operator(&site, 0);
+    let withdrawn = operator.withdraw(Kind::Key, "khedive-1", 1).await;
+    let index = withdrawn.expect("withdraw").index;
+    operator
+        .wait_in_force(index, |_| {})
+        .await
+        .expect("in force");
+    let late = tokio::spawn(async move {
+        client
+            .batch_execute("INSERT INTO orders (id, sign) VALUES ('late', 'x')")
+            .await
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    site.processes[2].signal("-CONT");
+
+    let refused = late.await.expect("task").expect_err("the key is withdrawn");
+    let code = refused.code().map(|code| code.code().to_owned());
+    assert!(
+        matches!(code.as_deref(), Some("57P03" | "28000")),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn bad_settings_name_the_line_and_exit_with_2() {
+    let folder = fresh_folder();
+    std::fs::create_dir_all(&folder).expect("folder");
+    let file = folder.join("bad.json");
+    std::fs::write(&file, "{\n  \"host\": \"a\",\n  \"zoone\": \"z\"\n}").expect("file");
+
+    let output = Command::new(env!("CARGO_BIN_EXE_hemlockcrank"))
+        .arg("check")
+        .arg(&file)
+        .output()
+        .expect("daemon");
+
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text.contains("zoone") && text.contains(":3:"), "{text}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- /dev/null
+++ b/crates/hemlockcrank_standin/examples/demo.rs
@@ -0,0 +1,64 @@
+//! Three entry hosts and a database in one process, ready for a PostgreSQL client.
+//!
+//! `cargo run --release -p hemlockcrank_standin --example demo` stays up until interrupted; with
+//! `-- --once` it saves and reads as a roaming session through two hosts and ends.
+
+#![expect(clippy::print_stdout, reason = "a demo speaks to people")]
+
+use hemlockcrank_standin::{GroupSettings, Site, SiteError, SiteSettings};
+
+const WORKSPACE: &str = "teclado";
+const KEY: &str = "teclado-key";
+const SERVICE: &str = "base-layouts";
+
+#[tokio::main]
+async fn main() -> Result<(), SiteError> {
+    let once = std::env::args().any(|argument| argument == "--once");
+    let group = GroupSettings::new(SERVICE, "layouts-1");
+    let site = Site::start(SiteSettings::new(&["z1", "z2", "z3"], vec![group])).await?;
+    site.open_workspace(WORKSPACE, SERVICE).await?;
+    println!("three hosts and the database layouts-1 (three members) are up");
+    for index in 0..3 {
+        println!("  {}", site.url(index, WORKSPACE, KEY, SERVICE));
+    }
+    roam(&site).await?;
+    if !once {
+        println!("connect with any PostgreSQL client; stop with Ctrl-C");
+        let _ = tokio::signal::ctrl_c().await;
+    }
+    Ok(())
+}
+
+/// Saves through the first host and reads through the second, without a token and with one.
+async fn roam(site: &Site) -> Result<(), SiteError> {
+    let first = site.connect(0, WORKSPACE, KEY, SERVICE).await?;
+    first
+        .batch_execute("CREATE TABLE IF NOT EXISTS layouts (id text PRIMARY KEY, keys text)")
+        .await?;
+    first
+        .execute(
+            "INSERT INTO layouts (id, keys) VALUES ($1, $2)",
+            &[&"nordeste-7", &"ç on the home row"],
+        )
+        .await?;
+    println!("saved nordeste-7 through host-1");
+    let row = first.query_one("SHOW hemlockcrank.session", &[]).await?;
+    let token: &str = row.get(0);
+    println!("session token: {token}");
+
+    let second = site.connect(1, WORKSPACE, KEY, SERVICE).await?;
+    let query = "SELECT keys FROM layouts WHERE id = $1";
+    let row = second.query_one(query, &[&"nordeste-7"]).await?;
+    println!(
+        "read through host-2 without a token: {}",
+        row.get::<_, &str>(0)
+    );
+    let set = format!("SET hemlockcrank.session = '{token}'");
+    second.batch_execute(&set).await?;
+    let row = second.query_one(query, &[&"nordeste-7"]).await?;
+    println!(
+        "read through host-2 with the token: {}",
+        row.get::<_, &str>(0)
+    );
+    Ok(())
+}
--- a/crates/hemlockcrank_standin/src/lib.rs
+++ b/crates/hemlockcrank_standin/src/lib.rs
@@ -14,7 +14,11 @@
 mod group;
 mod member;
 mod server;
+mod site;
 
 pub use fault::{Action, Fault, Point};
 pub use group::{Group, GroupSettings, Seen};
 pub use member::{Member, MemberState};
+pub use site::{
+    OPERATOR_TOKEN, PLATFORM_TOKEN, Site, SiteError, SiteSettings, fresh_folder, host_settings,
+};
--- /dev/null
+++ b/crates/hemlockcrank_standin/src/site.rs
@@ -0,0 +1,373 @@
+//! Entry hosts and databases in one process on loopback.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use hemlockcrank::{
+    Daemon, DaemonError, Settings,
+    settings::{Limits, Listen, LogFormat, Peer, Secrets, Upstream},
+};
+use hemlockcrank_core::{Name, record::Kind};
+use hemlockctl::{Client, ClientError};
+use thiserror::Error;
+use tokio_postgres::NoTls;
+
+use crate::{Group, GroupSettings};
+
+/// Interval between two announcements of a member.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
+/// Longest wait for a site to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Interval between two looks at something awaited.
+const LOOK: Duration = Duration::from_millis(20);
+/// Hosts that form the control group.
+const VOTERS: usize = 3;
+
+static NEXT_SITE: AtomicU32 = AtomicU32::new(0);
+
+/// A site that does not start.
+#[derive(Debug, Error)]
+pub enum SiteError {
+    /// A socket or a folder.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// A daemon.
+    #[error(transparent)]
+    Daemon(#[from] DaemonError),
+    /// An operator's call.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    /// A caller's connection.
+    #[error(transparent)]
+    Caller(#[from] tokio_postgres::Error),
+    /// Something did not come about in time.
+    #[error("{0} did not come about in time")]
+    TooLate(&'static str),
+}
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct SiteSettings {
+    /// Zone of each entry host.
+    pub hosts: Vec<Name>,
+    /// Databases.
+    pub groups: Vec<GroupSettings>,
+    /// Limits of every host.
+    pub limits: Limits,
+}
+
+impl SiteSettings {
+    /// Entry hosts in these zones, before these databases.
+    pub fn new(zones: &[&str], groups: Vec<GroupSettings>) -> Self {
+        Self {
+            hosts: zones.iter().map(|zone| Name::from(*zone)).collect(),
+            groups,
+            limits: Limits::default(),
+        }
+    }
+}
+
+/// A running site; its data folder goes when it is dropped.
+#[derive(Debug)]
+pub struct Site {
+    /// Settings of every host.
+    pub settings: Vec<Settings>,
+    /// Databases.
+    pub groups: Vec<Group>,
+    daemons: Vec<Option<Daemon>>,
+    folder: PathBuf,
+}
+
+impl Site {
+    /// Starts everything and waits until every host has a lease and knows every member.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError`] when something does not start or come about.
+    pub async fn start(settings: SiteSettings) -> Result<Self, SiteError> {
+        let folder = fresh_folder();
+        let hosts = host_settings(&settings, &folder)?;
+        let mut site = Self {
+            daemons: hosts.iter().map(|_| None).collect(),
+            settings: hosts,
+            groups: Vec::new(),
+            folder,
+        };
+        for index in 0..site.settings.len() {
+            site.start_host(index).await?;
+        }
+        for group in settings.groups {
+            site.add_group(group).await?;
+        }
+        site.wait_ready().await?;
+        Ok(site)
+    }
+
+    /// Starts a host, or starts it again on the same data folder.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError`] when it does not start.
+    pub async fn start_host(&mut self, index: usize) -> Result<(), SiteError> {
+        let daemon = Daemon::start(self.settings[index].clone()).await?;
+        self.daemons[index] = Some(daemon);
+        Ok(())
+    }
+
+    /// Ends a host as a crash would.
+    pub async fn kill_host(&mut self, index: usize) {
+        if let Some(daemon) = self.daemons[index].take() {
+            daemon.kill().await;
+        }
+    }
+
+    /// Ends a host gracefully.
+    pub async fn shut_down_host(&mut self, index: usize) {
+        if let Some(daemon) = self.daemons[index].take() {
+            daemon.shut_down().await;
+        }
+    }
+
+    /// Takes a host out, for a graceful shutdown beside other work.
+    pub fn take_host(&mut self, index: usize) -> Option<Daemon> {
+        self.daemons[index].take()
+    }
+
+    /// Deletes a host's data folder; it must not be running.
+    ///
+    /// # Errors
+    ///
+    /// When the folder cannot be removed.
+    pub fn lose_disk(&self, index: usize) -> std::io::Result<()> {
+        match &self.settings[index].data_dir {
+            Some(folder) => std::fs::remove_dir_all(folder),
+            None => Ok(()),
+        }
+    }
+
+    /// The host, while it runs.
+    pub fn daemon(&self, index: usize) -> Option<&Daemon> {
+        self.daemons[index].as_ref()
+    }
+
+    /// Starts a database that announces itself to every host.
+    ///
+    /// # Errors
+    ///
+    /// When a port cannot be had.
+    pub async fn add_group(&mut self, settings: GroupSettings) -> Result<(), SiteError> {
+        let mut group = Group::start(settings).await?;
+        let platform = self.settings.iter().map(|s| s.listen.operator).collect();
+        group.announce_to(platform, PLATFORM_TOKEN, ANNOUNCE_EVERY);
+        self.groups.push(group);
+        Ok(())
+    }
+
+    /// Operator client of a host.
+    pub fn operator(&self, index: usize) -> Client {
+        let address = self.settings[index].listen.operator;
+        Client::new(&address.to_string(), OPERATOR_TOKEN)
+    }
+
+    /// Address of a host's face towards callers.
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.settings[index].listen.caller
+    }
+
+    /// Connection string for a workspace on a host.
+    pub fn url(&self, index: usize, workspace: &str, key: &str, service: &str) -> String {
+        let address = self.caller_address(index);
+        format!("postgres://{workspace}:{key}@{address}/{service}")
+    }
+
+    /// Connects as a caller; the connection's own task runs until the client is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::Caller`] when the host refuses.
+    pub async fn connect(
+        &self,
+        index: usize,
+        workspace: &str,
+        key: &str,
+        service: &str,
+    ) -> Result<tokio_postgres::Client, SiteError> {
+        let url = self.url(index, workspace, key, service);
+        let (client, connection) = tokio_postgres::connect(&url, NoTls).await?;
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(client)
+    }
+
+    /// Submits a service and a workspace with its key `NAME-key`, and waits until they are in force.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::Client`] when a change is refused.
+    pub async fn open_workspace(&self, workspace: &str, service: &str) -> Result<(), SiteError> {
+        let operator = self.operator(self.running());
+        if operator.record(Kind::Service, service).await.is_err() {
+            operator
+                .submit(Kind::Service, service, 1, r#"{"open": false}"#)
+                .await?;
+        }
+        let text = format!(r#"{{"service": "{service}"}}"#);
+        operator
+            .submit(Kind::Workspace, workspace, 1, &text)
+            .await?;
+        let text = format!(r#"{{"workspace": "{workspace}", "secret": "{workspace}-key"}}"#);
+        let accepted = operator.submit(Kind::Key, workspace, 1, &text).await?;
+        operator.wait_in_force(accepted.index, |_| {}).await?;
+        Ok(())
+    }
+
+    /// Submits a workspace's rate and waits until it is in force.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::Client`] when the change is refused.
+    pub async fn set_rate(
+        &self,
+        workspace: &str,
+        per_second: u64,
+        burst: u64,
+    ) -> Result<(), SiteError> {
+        let operator = self.operator(self.running());
+        let text = format!(r#"{{"per_second": {per_second}, "burst": {burst}}}"#);
+        let accepted = operator.submit(Kind::Rate, workspace, 1, &text).await?;
+        operator.wait_in_force(accepted.index, |_| {}).await?;
+        Ok(())
+    }
+
+    /// Index of some host that runs.
+    pub fn running(&self) -> usize {
+        self.daemons.iter().position(Option::is_some).unwrap_or(0)
+    }
+
+    /// Waits until every running host has a lease and all of them know every member.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::TooLate`].
+    pub async fn wait_ready(&self) -> Result<(), SiteError> {
+        let running = self.daemons.iter().flatten().count();
+        self.wait_for("a ready site", || {
+            self.daemons.iter().flatten().all(|daemon| {
+                let world = daemon.context().control.world();
+                let complete = self.groups.iter().all(|group| {
+                    let known = world.state.directory.get(&group.settings.database);
+                    known.is_some_and(|d| d.members.len() == d.size() && d.primary.is_some())
+                });
+                world.has_lease() && complete && world.state.view.len() >= running
+            })
+        })
+        .await
+    }
+
+    /// Waits until `holds`, for as long as a site may take to be ready.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteError::TooLate`] with `what`.
+    pub async fn wait_for<F>(&self, what: &'static str, holds: F) -> Result<(), SiteError>
+    where
+        F: Fn() -> bool,
+    {
+        let started = Instant::now();
+        while !holds() {
+            if started.elapsed() > READY_LIMIT {
+                return Err(SiteError::TooLate(what));
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// Index of the host that leads the control group.
+    pub async fn leader(&self) -> Option<usize> {
+        for daemon in self.daemons.iter().flatten() {
+            let status = daemon.context().control.status().await?;
+            if &*status.role == "leader" {
+                return self.settings.iter().position(|s| s.host == status.host);
+            }
+        }
+        None
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Bearer token of operators on every site.
+pub const OPERATOR_TOKEN: &str = "operator-secret";
+/// Bearer token of the platform on every site.
+pub const PLATFORM_TOKEN: &str = "platform-secret";
+
+/// Settings of all hosts, each with a loopback address of its own and free ports.
+///
+/// # Errors
+///
+/// When a port cannot be had.
+pub fn host_settings(site: &SiteSettings, folder: &Path) -> std::io::Result<Vec<Settings>> {
+    let number = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
+    let names: Vec<Name> = (1..=site.hosts.len())
+        .map(|index| format!("host-{index}").into())
+        .collect();
+    let mut listens = Vec::new();
+    for index in 0..site.hosts.len() {
+        let third = u8::try_from(number % 250 + 1).unwrap_or(1);
+        let fourth = u8::try_from(index + 10).unwrap_or(10);
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 0, third, fourth));
+        listens.push(Listen {
+            caller: free_address(ip)?,
+            peer: free_address(ip)?,
+            operator: free_address(ip)?,
+        });
+    }
+    let peers = names.iter().zip(&listens).map(|(host, listen)| Peer {
+        host: host.clone(),
+        address: listen.peer,
+    });
+    let peers: Vec<Peer> = peers.collect();
+    let settings = names.iter().enumerate().map(|(index, name)| Settings {
+        host: name.clone(),
+        zone: site.hosts[index].clone(),
+        listen: listens[index].clone(),
+        advertise_peer: None,
+        peers: peers.iter().filter(|p| p.host != *name).cloned().collect(),
+        data_dir: (index < VOTERS).then(|| folder.join(&**name)),
+        bootstrap: names.iter().take(VOTERS).cloned().collect(),
+        secrets: Secrets {
+            peer: "peer-secret".into(),
+            operator: OPERATOR_TOKEN.into(),
+            platform: PLATFORM_TOKEN.into(),
+            key_digest: "digest-secret".into(),
+        },
+        upstream: Upstream {
+            user: "hemlockcrank".into(),
+            password: "upstream-secret".into(),
+        },
+        limits: site.limits.clone(),
+        log: LogFormat::Text,
+    });
+    Ok(settings.collect())
+}
+
+/// A fresh folder for one site's data.
+pub fn fresh_folder() -> PathBuf {
+    let number = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
+    let name = format!("hemlockcrank-{}-{number}", std::process::id());
+    std::env::temp_dir().join(name)
+}
+
+fn free_address(ip: IpAddr) -> std::io::Result<SocketAddr> {
+    TcpListener::bind((ip, 0))?.local_addr()
+}
--- /dev/null
+++ b/crates/hemlockctl/src/failure.rs
@@ -0,0 +1,101 @@
+//! What can go wrong, with the exit status of each.
+
+use std::path::PathBuf;
+
+use hemlockcrank::settings::SettingsError;
+use hemlockcrank_core::record::Invalid;
+use hemlockctl::ClientError;
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use thiserror::Error;
+
+/// Exit status when a host failed or was not reached.
+const EXIT_FAILED: u8 = 1;
+/// Exit status for bad arguments or input.
+const EXIT_USAGE: u8 = 2;
+/// Exit status when a change was refused.
+const EXIT_REFUSED: u8 = 3;
+/// Exit status when a change is accepted and not in force everywhere in time.
+const EXIT_WAITING: u8 = 4;
+
+/// A command that failed.
+#[derive(Debug, Error, Diagnostic)]
+pub(crate) enum Failure {
+    /// No host was given.
+    #[error("no host was given")]
+    #[diagnostic(
+        code(ctl::no_host),
+        help("use --host ADDRESS or set HEMLOCKCRANK_HOST")
+    )]
+    NoHost,
+    /// No token was given.
+    #[error("no operator token was given")]
+    #[diagnostic(
+        code(ctl::no_token),
+        help("use --token-file FILE or set HEMLOCKCRANK_TOKEN")
+    )]
+    NoToken,
+    /// No such kind of record.
+    #[error("`{given}` is no kind of record")]
+    #[diagnostic(
+        code(ctl::kind),
+        help("kinds are workspace, key, rate, service, zone and database")
+    )]
+    Kind {
+        /// As given.
+        given: String,
+    },
+    /// A field filter without `=`.
+    #[error("`{given}` is not of the form NAME=VALUE")]
+    #[diagnostic(code(ctl::field), help("for example --field workspace=teclado"))]
+    Field {
+        /// As given.
+        given: String,
+    },
+    /// A file cannot be read.
+    #[error("{path} cannot be read: {source}")]
+    #[diagnostic(code(ctl::unreadable))]
+    Unreadable {
+        /// Path as given.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A record file is not valid.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Record(Box<RecordFailure>),
+    /// A settings file is not valid.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(Box<SettingsError>),
+    /// A host refused or was not reached.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Client(#[from] ClientError),
+}
+
+/// A record file that is not valid, with the place at fault.
+#[derive(Debug, Error, Diagnostic)]
+#[error("the record is not valid: {error}")]
+#[diagnostic(
+    code(ctl::record),
+    help("docs/RECORDS.md lists the fields of both schema versions")
+)]
+pub(crate) struct RecordFailure {
+    pub(crate) error: Invalid,
+    #[source_code]
+    pub(crate) source_code: NamedSource<String>,
+    #[label("here")]
+    pub(crate) place: SourceSpan,
+}
+
+impl Failure {
+    pub(crate) fn exit_status(&self) -> u8 {
+        match self {
+            Self::Client(ClientError::NotAccepted { .. }) => EXIT_REFUSED,
+            Self::Client(ClientError::Waiting { .. }) => EXIT_WAITING,
+            Self::Client(_) => EXIT_FAILED,
+            _ => EXIT_USAGE,
+        }
+    }
+}
