--- a/crates/hemlockcrank/tests/processes.rs
+++ b/crates/hemlockcrank/tests/processes.rs
@@ -98,9 +98,15 @@
         _group: group,
         folder,
     };
-    let operator = operator(&site, 0);
+    wait_ready(&site).await;
+    site
+}
+
+async fn wait_ready(site: &Site) {
+    let operator = operator(site, 0);
     let started = Instant::now();
-    while started.elapsed() < WAIT {
+    loop {
+        assert!(started.elapsed() < WAIT, "the site was not ready in time");
         let hosts = operator
             .status()
             .await
@@ -111,11 +117,10 @@
                 .iter()
                 .any(|d| d.members.len() == 3 && d.primary.is_some())
         {
-            return site;
+            return;
         }
         tokio::time::sleep(LOOK).await;
     }
-    panic!("the site was not ready in time");
 }
 
 fn operator(site: &Site, index: usize) -> Client {
--- a/crates/hemlockcrank_core/src/consensus.rs
+++ b/crates/hemlockcrank_core/src/consensus.rs
@@ -69,7 +69,7 @@
 }
 
 /// Who votes, and who only receives the log.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Config {
     /// Members that vote and count towards a quorum.
     pub voters: BTreeSet<Id>,
--- a/crates/hemlockcrank_core/src/consensus/log.rs
+++ b/crates/hemlockcrank_core/src/consensus/log.rs
@@ -5,7 +5,7 @@
 use super::{Config, Data};
 
 /// What one entry carries.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Payload {
     /// Written by a new leader to commit the entries before it.
     Noop,
@@ -16,7 +16,7 @@
 }
 
 /// One position of the log.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Entry {
     /// Position, counted from 1.
     pub index: u64,
@@ -27,7 +27,7 @@
 }
 
 /// State that stands for all entries up to and including `index`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Last index that the snapshot covers; 0 for the empty one.
     pub index: u64,
--- a/crates/hemlockcrank_core/src/consensus/message.rs
+++ b/crates/hemlockcrank_core/src/consensus/message.rs
@@ -5,7 +5,7 @@
 use super::{Entry, Id, Snapshot};
 
 /// A message with its two ends.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Envelope {
     /// Sender.
     pub from: Id,
@@ -16,7 +16,7 @@
 }
 
 /// What members tell each other. Every message carries the sender's term.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for a vote, or with `pre` whether a vote would be given.
     Vote {
