--- a/crates/hemlockcrank_core/src/consensus/node.rs
+++ b/crates/hemlockcrank_core/src/consensus/node.rs
@@ -565,8 +565,12 @@
                 self.send_append(now, from.clone());
             }
         } else {
-            progress.next = index.clamp(progress.matched + 1, progress.next.max(2) - 1);
-            self.send_append(now, from.clone());
+            let lowest = progress.matched + 1;
+            let is_late = index < lowest;
+            progress.next = index.clamp(lowest, (progress.next - 1).max(lowest));
+            if !is_late {
+                self.send_append(now, from.clone());
+            }
         }
     }
 
--- /dev/null
+++ b/crates/hemlockcrank_core/tests/decisions.rs
@@ -0,0 +1,285 @@
+//! Single decisions: floors, acknowledgements, routes, queues, outcomes, owners, leases, retries.
+
+use std::collections::BTreeMap;
+
+use hemlockcrank_core::{
+    Name,
+    clock::{Hybrid, Stamp},
+    lease::Lease,
+    membership::{Host, View},
+    queue::{Entry, Fair, Refusal},
+    request::{Found, Marker, Outcome, Stage, judge},
+    retry::Budget,
+    route::{Candidate, choose},
+    session::{Position, Token, floor, is_acknowledged},
+};
+use rstest::rstest;
+
+fn at(term: u64, index: u64) -> Position {
+    Position::new(term, index)
+}
+
+#[rstest]
+#[case(3, &[at(1, 9)], None)]
+#[case(3, &[at(1, 9), at(1, 4)], Some(at(1, 9)))]
+#[case(3, &[at(1, 9), at(1, 4), at(1, 7)], Some(at(1, 7)))]
+#[case(3, &[at(2, 1), at(1, 4), at(1, 7)], Some(at(1, 7)))]
+#[case(5, &[at(1, 9), at(1, 8), at(1, 7)], Some(at(1, 9)))]
+#[case(5, &[at(1, 9), at(1, 8), at(1, 7), at(1, 6), at(1, 5)], Some(at(1, 7)))]
+#[case(1, &[at(1, 3)], Some(at(1, 3)))]
+fn floors(
+    #[case] members: usize,
+    #[case] samples: &[Position],
+    #[case] expected: Option<Position>,
+) {
+    assert_eq!(floor(members, samples), expected);
+}
+
+#[rstest]
+#[case(&[(2, at(2, 7)), (2, at(2, 7))], true)]
+#[case(&[(2, at(2, 7)), (2, at(2, 6)), (1, at(1, 9))], false)]
+#[case(&[(2, at(2, 7)), (3, at(2, 7))], false)]
+#[case(&[(2, at(2, 7)), (2, at(1, 9))], false)]
+fn acknowledgements(#[case] reports: &[(u64, Position)], #[case] expected: bool) {
+    assert_eq!(is_acknowledged(3, at(2, 7), reports), expected);
+}
+
+#[rstest]
+#[case("1:ledger:2:3", true)]
+#[case("1:with:colons:2:3", true)]
+#[case("2:ledger:2:3", false)]
+#[case("1::2:3", false)]
+#[case("1:ledger:2:x", false)]
+#[case("", false)]
+fn tokens(#[case] text: &str, #[case] valid: bool) {
+    let parsed: Result<Token, _> = text.parse();
+    assert_eq!(parsed.is_ok(), valid);
+    if let Ok(token) = parsed {
+        assert_eq!(token.to_string(), text);
+    }
+}
+
+fn candidate(name: &str, index: u64) -> Candidate {
+    Candidate {
+        name: name.into(),
+        position: at(1, index),
+        primary: false,
+        available: true,
+        load: 0,
+        slots: 3,
+        latency_us: 1_000,
+    }
+}
+
+#[test]
+fn a_read_goes_to_the_quickest_replica_that_is_fresh_enough_and_else_to_the_primary() {
+    let mut members = vec![candidate("p", 9), candidate("near", 7), candidate("far", 9)];
+    members[0].primary = true;
+    members[1].latency_us = 300;
+
+    assert_eq!(choose(&members, at(1, 5), &[]), Some(1));
+    assert_eq!(choose(&members, at(1, 8), &[]), Some(2));
+    assert_eq!(choose(&members, at(1, 8), &["far".into()]), Some(0));
+    members[1].load = 30;
+    assert_eq!(choose(&members, at(1, 5), &[]), Some(2));
+    members[1].available = false;
+    members[2].available = false;
+    assert_eq!(choose(&members, at(1, 5), &[]), Some(0));
+    assert_eq!(choose(&members, at(2, 0), &[]), None);
+}
+
+#[rstest]
+#[case(Stage::Unsent, Outcome::NotRun)]
+#[case(Stage::InTransaction, Outcome::NotRun)]
+#[case(Stage::CommitSent, Outcome::Unknown)]
+#[case(Stage::Rejected, Outcome::NotRun)]
+#[case(Stage::Committed, Outcome::Unknown)]
+#[case(Stage::Acknowledged, Outcome::Ran)]
+fn outcomes(#[case] stage: Stage, #[case] expected: Outcome) {
+    assert_eq!(judge(stage), expected);
+}
+
+#[test]
+fn a_marker_tells_its_own_void_from_others_and_quotes_what_it_is_given() {
+    let marker = Marker::new(&"w".into(), "it's", "a1");
+    assert!(marker.claim().contains("'w/it''s'") && marker.claim().contains("'a1'"));
+    assert_eq!(Marker::read("a1"), Found::Ran);
+    let attempt = marker.own_void();
+    assert!(marker.void().contains(&format!("'{attempt}'")));
+    assert_eq!(Marker::read(&attempt), Found::Void { attempt });
+}
+
+fn entry(workspace: &str, weight: u32) -> Entry {
+    Entry {
+        workspace: workspace.into(),
+        weight,
+        deadline: 100_000,
+    }
+}
+
+/// Serves `turns` statements of 10 ms each, one at a time, and counts them by workspace.
+fn serve(queue: &mut Fair, names: &BTreeMap<u64, Name>, turns: usize) -> BTreeMap<Name, usize> {
+    let mut served = BTreeMap::new();
+    let mut now = 0;
+    for _ in 0..turns {
+        let turn = queue.pop(now).expect("somebody waits");
+        assert!(turn.admitted);
+        *served.entry(names[&turn.ticket].clone()).or_default() += 1;
+        queue.release(now, now + 10);
+        now += 10;
+    }
+    served
+}
+
+#[test]
+fn a_flood_of_one_workspace_does_not_delay_another_and_weights_count() {
+    let mut queue = Fair::new(1);
+    let mut names = BTreeMap::new();
+    for _ in 0..100 {
+        names.insert(
+            queue.push(0, entry("flood", 1)).expect("room"),
+            "flood".into(),
+        );
+    }
+    for _ in 0..30 {
+        names.insert(
+            queue.push(0, entry("calm", 1)).expect("room"),
+            "calm".into(),
+        );
+        names.insert(
+            queue.push(0, entry("large", 2)).expect("room"),
+            "large".into(),
+        );
+    }
+
+    let served = serve(&mut queue, &names, 40);
+
+    assert_eq!(served["flood"], 10);
+    assert_eq!(served["calm"], 10);
+    assert_eq!(served["large"], 20);
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_early() {
+    let mut queue = Fair::new(1);
+    queue.push(0, entry("w", 1)).expect("room");
+    queue.pop(0).expect("a free slot");
+    queue.release(0, 1_000);
+    queue.push(1_000, entry("w", 1)).expect("room");
+    queue.pop(1_000).expect("a free slot");
+    let late = Entry {
+        deadline: 1_500,
+        ..entry("w", 1)
+    };
+
+    assert_eq!(
+        queue.push(1_000, late),
+        Err(Refusal::Busy { expected_ms: 1_000 })
+    );
+}
+
+#[test]
+fn a_statement_overtaken_by_its_deadline_is_refused_without_a_slot() {
+    let mut queue = Fair::new(1);
+    let ticket = queue
+        .push(
+            0,
+            Entry {
+                deadline: 5,
+                ..entry("w", 1)
+            },
+        )
+        .expect("room");
+
+    let turn = queue.pop(6).expect("its turn");
+
+    assert_eq!((turn.ticket, turn.admitted), (ticket, false));
+    assert_eq!(queue.busy(), 0);
+}
+
+#[test]
+fn watchers_are_in_different_zones_and_a_host_that_leaves_moves_only_its_share() {
+    let mut view = View::default();
+    for index in 0..60 {
+        view.insert(Host::new(format!("h{index}"), format!("z{}", index % 4)));
+    }
+    let keys: Vec<String> = (0..600).map(|key| format!("workspace-{key}")).collect();
+    let before: Vec<Option<Name>> = keys.iter().map(|key| view.owner(key).cloned()).collect();
+    for key in &keys {
+        let chosen = view.spread(key, 3);
+        let mut zones: Vec<&Name> = chosen
+            .iter()
+            .filter_map(|h| Some(&view.get(h)?.zone))
+            .collect();
+        zones.sort();
+        zones.dedup();
+        assert_eq!(zones.len(), 3);
+    }
+
+    view.remove("h7", 0);
+
+    let moved = keys
+        .iter()
+        .zip(&before)
+        .filter(|(key, old)| view.owner(key) != old.as_ref());
+    for (_, old) in moved {
+        assert_eq!(old.as_deref(), Some("h7"));
+    }
+}
+
+#[test]
+fn an_old_incarnation_neither_replaces_nor_removes_a_newer_one() {
+    let mut view = View::default();
+    let mut newer = Host::new("h", "z");
+    newer.incarnation = 5;
+    view.insert(newer);
+
+    assert!(!view.insert(Host::new("h", "z")));
+    assert!(!view.remove("h", 4));
+    assert!(view.remove("h", 5));
+}
+
+#[test]
+fn a_lease_counts_from_the_question_and_is_never_longer_than_its_term() {
+    let mut lease = Lease::default();
+    assert!(!lease.is_valid(0));
+    lease.renew(1_000, 99_999);
+    assert!(lease.is_valid(3_999) && !lease.is_valid(4_000));
+    lease.renew(900, 3_000);
+    assert_eq!(lease.until(), 4_000);
+}
+
+#[test]
+fn retries_are_a_small_share_of_the_traffic() {
+    let mut budget = Budget::default();
+    let at_once = (0..100).filter(|_| budget.spend()).count();
+    let mut later = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        later += usize::from(budget.spend());
+    }
+    assert_eq!((at_once, later), (10, 100));
+}
+
+#[test]
+fn a_broken_clock_does_not_drag_the_others_along() {
+    let mut clock = Hybrid::default();
+    let before = clock.tick(1_000);
+    clock.witness(
+        1_000,
+        Stamp {
+            wall_ms: u64::MAX,
+            count: 0,
+        },
+    );
+    assert!(clock.tick(1_000).wall_ms < 100_000);
+    clock.witness(
+        1_000,
+        Stamp {
+            wall_ms: 2_000,
+            count: 4,
+        },
+    );
+    assert!(clock.tick(1_001) > before);
+    assert_eq!(clock.tick(1_001).wall_ms, 2_000);
+}
--- /dev/null
+++ b/crates/hemlockcrank_core/tests/failover/main.rs
@@ -0,0 +1,4 @@
+//! Changes of primary: exhaustive exploration, and single decisions.
+
+mod explore;
+mod panel;
