--- /dev/null
+++ b/crates/hemlockcrank/tests/site/failover.rs
@@ -0,0 +1,183 @@
+//! Changes of primary: nothing acknowledged is lost, nothing is doubled.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use hemlockcrank_core::directory::Role;
+use hemlockcrank_standin::Site;
+
+use crate::fixture::{
+    DATABASE, connect, eventually, group, outcome, save, sees, site, site_with, sqlstate, stored,
+};
+
+/// Saves one order after another until told to stop; returns each id with how it ended.
+async fn save_many(site: &Site, host: usize, stop: Arc<AtomicBool>) -> Vec<(String, String)> {
+    let mut client = connect(site, host).await;
+    let mut ended = Vec::new();
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let id = format!("order-{host}-{number}");
+        number += 1;
+        match save(&client, &id).await {
+            Ok(_) => ended.push((id, "acknowledged".to_owned())),
+            Err(error) => {
+                ended.push((id, outcome(&error)));
+                if client.is_closed() {
+                    client = connect(site, host).await;
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    ended
+}
+
+/// Runs `strike` while two hosts save, and checks every order against what its caller was told.
+async fn check_through<F>(site: &Site, strike: F)
+where
+    F: AsyncFnOnce(),
+{
+    let stop = Arc::new(AtomicBool::new(false));
+    let struck = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        strike().await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        stop.store(true, Ordering::Relaxed);
+    };
+    let savers = (
+        save_many(site, 0, Arc::clone(&stop)),
+        save_many(site, 1, Arc::clone(&stop)),
+    );
+    let (first, second, ()) = tokio::join!(savers.0, savers.1, struck);
+    let all: Vec<(String, String)> = first.into_iter().chain(second).collect();
+    let acknowledged = all
+        .iter()
+        .filter(|(_, told)| told == "acknowledged")
+        .count();
+    assert!(
+        acknowledged > 20,
+        "only {acknowledged} of {} were acknowledged",
+        all.len()
+    );
+    for (id, told) in &all {
+        let count = stored(site, id);
+        match told.as_str() {
+            "acknowledged" => assert_eq!(count, 1, "{id} was acknowledged"),
+            "outcome: not run" => assert_eq!(count, 0, "{id} was said not to have run"),
+            "outcome: unknown" => assert!(count <= 1, "{id}"),
+            other => assert_eq!(other, "", "{id} ended in an unexpected way"),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_primary_costs_no_acknowledged_save() {
+    let site = site().await;
+    let old = site.groups[0].primary().expect("primary").clone();
+
+    check_through(&site, async || old.kill()).await;
+
+    let new = site.groups[0].primary().expect("primary").clone();
+    assert!(new.name != old.name && new.role().1 > 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_primary_cut_off_from_everyone_is_superseded_and_follows_when_it_returns() {
+    let site = site_with(group().lag_ms(15)).await;
+    let old = site.groups[0].primary().expect("primary").clone();
+
+    check_through(&site, async || old.cut(true)).await;
+    let new = site.groups[0].primary().expect("primary").clone();
+    assert_ne!(new.name, old.name);
+
+    old.cut(false);
+    eventually("the old primary follows", async || {
+        old.role() == (Role::Replica, new.role().1) && old.last() == new.last()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_superseded_primary_that_one_host_still_reaches_acknowledges_nothing() {
+    let site = site().await;
+    let old = site.groups[0].primary().expect("primary").clone();
+    let others = [1, 2].map(|host| site.settings[host].listen.peer.ip());
+
+    check_through(&site, async || old.cut_from(others)).await;
+
+    let new = site.groups[0].primary().expect("primary").clone();
+    assert_ne!(new.name, old.name, "two of three watchers miss the primary");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_go_on_and_stay_fresh_while_the_primary_is_frozen() {
+    let site = site().await;
+    let writer = connect(&site, 0).await;
+    let reader = connect(&site, 1).await;
+    save(&writer, "order-1").await.expect("save");
+
+    site.groups[0].primary().expect("primary").freeze(true);
+
+    for _ in 0..10 {
+        assert!(sees(&reader, "order-1").await.expect("read"));
+    }
+    save(&writer, "order-2")
+        .await
+        .expect("a save waits through the change");
+    assert!(sees(&reader, "order-2").await.expect("read"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_switchover_refuses_and_loses_nothing() {
+    let site = site_with(group().lag_ms(20)).await;
+    let target = site.groups[0].members()[1].name.clone();
+    let stop = Arc::new(AtomicBool::new(false));
+    let struck = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        site.operator(1)
+            .switch_over(DATABASE, &target)
+            .await
+            .expect("switchover");
+        eventually("the switchover", async || {
+            site.groups[0].primary().is_some_and(|p| p.name == target)
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        stop.store(true, Ordering::Relaxed);
+    };
+
+    let (all, ()) = tokio::join!(save_many(&site, 0, Arc::clone(&stop)), struck);
+
+    for (id, told) in &all {
+        assert_eq!(
+            (told.as_str(), stored(&site, id)),
+            ("acknowledged", 1),
+            "{id}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_majority_nothing_is_acknowledged_and_the_refusal_says_unknown() {
+    let site = site().await;
+    let client = connect(&site, 0).await;
+    for member in &site.groups[0].members()[1..] {
+        member.cut(true);
+    }
+
+    let refused = tokio::time::timeout(Duration::from_secs(20), save(&client, "order-1")).await;
+
+    let refused = refused.expect("an answer").expect_err("no majority");
+    assert!(
+        matches!(sqlstate(&refused).as_str(), "08007" | "57P03"),
+        "{refused:?}"
+    );
+    for member in &site.groups[0].members()[1..] {
+        member.cut(false);
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank/tests/site/leaving.rs
@@ -0,0 +1,139 @@
+//! Zones, databases and hosts that leave service and return.
+
+use std::time::Duration;
+
+use hemlockcrank_core::record::Kind;
+
+use crate::fixture::{DATABASE, connect, eventually, outcome, save, sees, site, sqlstate, stored};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_taken_out_gets_no_new_work_and_its_primary_moves() {
+    let site = site().await;
+    let operator = site.operator(1);
+    let in_zone = connect(&site, 0).await;
+    let elsewhere = connect(&site, 1).await;
+    save(&elsewhere, "order-1").await.expect("save");
+
+    let out = operator
+        .submit(Kind::Zone, "z1", 1, r#"{"in_service": false}"#)
+        .await;
+    let out = out.expect("zone out");
+    operator
+        .wait_in_force(out.index, |_| {})
+        .await
+        .expect("in force");
+    let members = site.groups[0].members();
+    eventually("the primary to move", async || {
+        site.groups[0]
+            .primary()
+            .is_some_and(|primary| &*primary.zone != "z1")
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = members[0].statements();
+    for round in 0..10 {
+        let id = format!("moved-{round}");
+        save(&elsewhere, &id).await.expect("save");
+        assert!(sees(&elsewhere, &id).await.expect("read"));
+    }
+
+    assert_eq!(
+        members[0].statements(),
+        before,
+        "a member of the zone got work"
+    );
+    assert!(
+        save(&in_zone, "order-2").await.is_err(),
+        "a host of the zone takes work"
+    );
+    assert_eq!(stored(&site, "order-2"), 0);
+
+    let back = operator
+        .revise(Kind::Zone, "z1", 2, r#"{"state": "in_service"}"#, 1)
+        .await;
+    let back = back.expect("zone back");
+    operator
+        .wait_in_force(back.index, |_| {})
+        .await
+        .expect("in force");
+    let returned = connect(&site, 0).await;
+    save(&returned, "order-3").await.expect("save");
+    assert!(sees(&returned, "order-1").await.expect("read"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_database_taken_out_gets_no_new_work_and_finishes_what_is_open() {
+    let site = site().await;
+    let mut client = connect(&site, 0).await;
+    let other = connect(&site, 1).await;
+    let transaction = client.transaction().await.expect("begin");
+    let insert = "INSERT INTO orders (id, sign) VALUES ('open', 'x')";
+    transaction.batch_execute(insert).await.expect("save");
+    let operator = site.operator(2);
+
+    let out = operator
+        .submit(Kind::Database, DATABASE, 2, r#"{"state": "out"}"#)
+        .await;
+    let out = out.expect("database out");
+    operator
+        .wait_in_force(out.index, |_| {})
+        .await
+        .expect("in force");
+
+    let refused = save(&other, "order-1").await.expect_err("out of service");
+    assert_eq!(
+        (sqlstate(&refused).as_str(), outcome(&refused).as_str()),
+        ("57P03", "outcome: not run")
+    );
+    transaction
+        .commit()
+        .await
+        .expect("an open transaction ends");
+    assert_eq!((stored(&site, "order-1"), stored(&site, "open")), (0, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_under_load_cuts_no_request() {
+    let mut site = site().await;
+    let clients = [
+        connect(&site, 2).await,
+        connect(&site, 2).await,
+        connect(&site, 2).await,
+    ];
+    let load = clients
+        .into_iter()
+        .enumerate()
+        .map(|(number, client)| async move {
+            let mut told = Vec::new();
+            for round in 0..400 {
+                let id = format!("order-{number}-{round}");
+                match save(&client, &id).await {
+                    Ok(_) => told.push((id, true)),
+                    Err(error) => {
+                        let closed = client.is_closed() || sqlstate(&error) == "57P01";
+                        assert!(closed, "{error:?}");
+                        told.push((id, false));
+                        break;
+                    }
+                }
+            }
+            told
+        });
+    let load = futures_util::future::join_all(load);
+    let daemon = site.take_host(2).expect("host");
+    let stopping = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        daemon.shut_down().await;
+    };
+
+    let (told, ()) = tokio::join!(load, stopping);
+
+    for (id, acknowledged) in told.into_iter().flatten() {
+        assert_eq!(stored(&site, &id), usize::from(acknowledged), "{id}");
+    }
+    let world = site.daemon(0).expect("host").context().control.world();
+    assert!(
+        world.state.view.get("host-3").is_none(),
+        "the host left the view by itself"
+    );
+}
--- /dev/null
+++ b/crates/hemlockcrank/tests/site/limits.rs
@@ -0,0 +1,148 @@
+//! Rates over all hosts, and fair shares.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hemlockcrank_standin::Site;
+
+use crate::fixture::{WORKSPACE, connect, group, outcome, site, site_with, sqlstate};
+
+const PER_SECOND: u64 = 40;
+const BURST: u64 = 10;
+
+/// Reads on one host as fast as answers come; returns how many were served and how many refused.
+async fn hammer(site: &Site, host: usize, stop: &AtomicBool) -> (u64, u64) {
+    let client = connect(site, host).await;
+    let (mut served, mut refused) = (0, 0);
+    while !stop.load(Ordering::Relaxed) {
+        match client.simple_query("SELECT 1").await {
+            Ok(_) => served += 1,
+            Err(error) => {
+                assert_eq!(outcome(&error), "outcome: not run", "{error:?}");
+                refused += 1;
+            }
+        }
+    }
+    (served, refused)
+}
+
+async fn hammer_for(site: &Site, hosts: &[usize], time: Duration) -> (u64, Duration) {
+    let stop = AtomicBool::new(false);
+    let started = Instant::now();
+    let all = hosts.iter().flat_map(|host| [*host, *host]);
+    let all = futures_util::future::join_all(all.map(|host| hammer(site, host, &stop)));
+    let ((), counts) = tokio::join!(
+        async {
+            tokio::time::sleep(time).await;
+            stop.store(true, Ordering::Relaxed);
+        },
+        all
+    );
+    (
+        counts.iter().map(|(served, _)| served).sum(),
+        started.elapsed(),
+    )
+}
+
+fn allowed(elapsed: Duration) -> u64 {
+    BURST + PER_SECOND * u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX) / 1_000 + 1
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_workspace_exceeds_its_rate_summed_over_all_hosts() {
+    let site = site().await;
+    site.set_rate(WORKSPACE, PER_SECOND, BURST)
+        .await
+        .expect("rate");
+
+    let (served, elapsed) = hammer_for(&site, &[0, 1, 2], Duration::from_secs(2)).await;
+
+    assert!(served <= allowed(elapsed), "{served} in {elapsed:?}");
+    assert!(served > BURST, "{served} in {elapsed:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_rate_holds_while_its_owner_dies_and_comes_back() {
+    let mut site = site().await;
+    site.set_rate(WORKSPACE, PER_SECOND, BURST)
+        .await
+        .expect("rate");
+    let world = site.daemon(0).expect("host").context().control.world();
+    let owner = world.state.view.owner(WORKSPACE).expect("owner").clone();
+    let owner = site
+        .settings
+        .iter()
+        .position(|s| s.host == owner)
+        .expect("index");
+    let others: Vec<usize> = (0..3).filter(|host| *host != owner).collect();
+    let started = Instant::now();
+    let (before, _) = hammer_for(&site, &others, Duration::from_millis(500)).await;
+
+    site.kill_host(owner).await;
+    let (during, _) = hammer_for(&site, &others, Duration::from_millis(5_500)).await;
+    site.start_host(owner).await.expect("restart");
+    let (after, _) = hammer_for(&site, &others, Duration::from_secs(2)).await;
+
+    let elapsed = started.elapsed();
+    let served = before + during + after;
+    assert!(served <= allowed(elapsed), "{served} in {elapsed:?}");
+    assert!(during > 0, "a new owner lends");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_one_workspace_leaves_another_its_share() {
+    let site = site_with(group().statement_ms(10)).await;
+    site.open_workspace("calm", "ledger")
+        .await
+        .expect("workspace");
+    let stop = Arc::new(AtomicBool::new(false));
+    let calm_served = AtomicU64::new(0);
+    let calm = async {
+        let client = site
+            .connect(0, "calm", "calm-key", "ledger")
+            .await
+            .expect("connect");
+        for _ in 0..30 {
+            client.simple_query("SELECT 1").await.expect("a calm read");
+            calm_served.fetch_add(1, Ordering::Relaxed);
+        }
+        stop.store(true, Ordering::Relaxed);
+    };
+    let flood = (0..60).map(|_| async {
+        let client = connect(&site, 0).await;
+        let mut served = 0_u64;
+        while !stop.load(Ordering::Relaxed) {
+            served += u64::from(client.simple_query("SELECT 1").await.is_ok());
+        }
+        served
+    });
+
+    let (flood, ()) = tokio::join!(futures_util::future::join_all(flood), calm);
+
+    let flooded: u64 = flood.iter().sum();
+    assert_eq!(calm_served.load(Ordering::Relaxed), 30);
+    assert!(
+        flooded < 60 * 30,
+        "the flood was served {flooded} times meanwhile"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_workspace_at_its_rate_is_told_so() {
+    let site = site().await;
+    site.set_rate(WORKSPACE, 1, 1).await.expect("rate");
+    let client = connect(&site, 0).await;
+    let mut refusals = 0;
+    for _ in 0..4 {
+        if let Err(error) = client.simple_query("SELECT 1").await {
+            assert_eq!(sqlstate(&error), "53400");
+            refusals += 1;
+        }
+    }
+    assert!(refusals >= 2, "{refusals} refusals");
+}
