--- a/crates/hemlockcrank/src/control.rs
+++ b/crates/hemlockcrank/src/control.rs
@@ -102,7 +102,8 @@
 pub struct Status {
     /// This host.
     pub host: Name,
-    /// Role in the control group: `none`, `fresh`, `learner`, or a role of the protocol.
+    /// Role in the control group: `none`, `fresh`, `joining`, `learner`, or a role of the
+    /// protocol.
     pub role: Name,
     /// Term.
     pub term: u64,
--- a/crates/hemlockcrank/src/control/actor.rs
+++ b/crates/hemlockcrank/src/control/actor.rs
@@ -144,6 +144,8 @@
     fn new(arguments: Arguments, myself: ActorRef<Message>) -> Self {
         let host = arguments.host;
         let group = arguments.journal.map(|j| Group::new(&host.name, j));
+        let snapshot = group.as_ref().and_then(Group::node);
+        let state = snapshot.and_then(|node| state_of(node.log().snapshot()));
         let seed = host.incarnation ^ u64::from(std::process::id()) ^ name_seed(&host.name);
         Self {
             settings: arguments.settings,
@@ -157,7 +159,7 @@
             founding: Founding::default(),
             form_at: 0,
             join_at: 0,
-            state: State::default(),
+            state: state.unwrap_or_default(),
             following: Following::default(),
             held: Vec::new(),
             duties: None,
@@ -710,6 +712,7 @@
             (_, Some(node)) if own.is_some_and(|id| node.log().config().learners.contains(id)) => {
                 "learner".into()
             }
+            (_, Some(node)) if !node.log().config().contains(node.id()) => "joining".into(),
             (_, Some(node)) => node.role().to_string().into(),
         };
         let known = node
--- a/crates/hemlockcrank/src/daemon.rs
+++ b/crates/hemlockcrank/src/daemon.rs
@@ -33,6 +33,8 @@
 
 /// Interval between two looks at the sessions that remain.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Silences that a query of the proxy's own is waited for.
+const ANSWER_SILENCES: u32 = 2;
 /// Time that a host stays after it left the view, to hand over what it owned.
 const LINGER: Duration = Duration::from_millis(700);
 
@@ -99,6 +101,7 @@
             from: settings.listen.peer.ip(),
             credential: settings.upstream.clone(),
             message_bytes: settings.limits.message_bytes,
+            answer_limit: Duration::from_millis(settings.limits.silence_ms) * ANSWER_SILENCES,
         };
         let context = Arc::new(Context {
             settings,
--- a/crates/hemlockcrank/src/upstream/connection.rs
+++ b/crates/hemlockcrank/src/upstream/connection.rs
@@ -67,6 +67,8 @@
     pub credential: settings::Upstream,
     /// Longest message, in bytes.
     pub message_bytes: usize,
+    /// Longest wait for the answer to a query of the proxy's own.
+    pub answer_limit: Duration,
 }
 
 /// The whole answer to a simple query of the proxy's own.
@@ -96,6 +98,8 @@
     pub stream: Stream,
     /// Process id and secret for cancel requests.
     pub key: (i32, SecretKey),
+    /// Longest wait for the answer to a query of the proxy's own.
+    answer_limit: Duration,
     /// Prepared statements that exist on it.
     pub prepared: HashSet<String>,
     /// Session whose state is on it; 0 for none.
@@ -145,6 +149,7 @@
         let mut connection = Self {
             stream,
             key: (0, SecretKey::I32(0)),
+            answer_limit: source.answer_limit,
             prepared: HashSet::new(),
             owner: 0,
             settings_version: 0,
@@ -198,11 +203,18 @@
     ///
     /// # Errors
     ///
-    /// [`ConnectionError`] when the connection fails; an error of the statement is in the [`Answer`].
+    /// [`ConnectionError`] when the connection fails or stays silent; it must not be used again then. An
+    /// error of the statement is in the [`Answer`].
     pub async fn query(&mut self, text: &str) -> Result<Answer, ConnectionError> {
-        self.stream.queue(&Query::new(text.to_owned()))?;
-        self.stream.flush().await?;
-        self.collect().await
+        let limit = self.answer_limit;
+        let exchange = async {
+            self.stream.queue(&Query::new(text.to_owned()))?;
+            self.stream.flush().await?;
+            self.collect().await
+        };
+        timeout(limit, exchange)
+            .await
+            .map_err(|_| ConnectionError::TimedOut)?
     }
 
     async fn collect(&mut self) -> Result<Answer, ConnectionError> {
--- a/crates/hemlockcrank/tests/site/fixture.rs
+++ b/crates/hemlockcrank/tests/site/fixture.rs
@@ -53,6 +53,14 @@
     client.execute(insert, &[&id]).await
 }
 
+/// Saves with a request id, so that the outcome is always known.
+pub(crate) async fn save_marked(client: &Client, id: &str) -> Result<(), tokio_postgres::Error> {
+    let set = format!("SET hemlockcrank.request_id = 'request-{id}'");
+    client.batch_execute(&set).await?;
+    let insert = format!("INSERT INTO orders (id, sign) VALUES ('{id}', 'brass')");
+    client.batch_execute(&insert).await
+}
+
 /// Whether a read sees the order.
 pub(crate) async fn sees(client: &Client, id: &str) -> Result<bool, Error> {
     let query = "SELECT sign FROM orders WHERE id = $1";
--- a/crates/hemlockcrank_core/tests/allotment/main.rs
+++ b/crates/hemlockcrank_core/tests/allotment/main.rs
@@ -1,5 +1,10 @@
 //! Fleet-wide rates: exhaustive exploration, and long seeded runs.
 
+#![expect(
+    clippy::print_stdout,
+    reason = "state counts and seeds are part of the report"
+)]
+
 mod explore;
 mod fleet;
 mod random;
--- a/crates/hemlockcrank_core/tests/consensus/main.rs
+++ b/crates/hemlockcrank_core/tests/consensus/main.rs
@@ -1,5 +1,10 @@
 //! The control group's protocol: exhaustive exploration of small groups, and long seeded runs.
 
+#![expect(
+    clippy::print_stdout,
+    reason = "state counts and seeds are part of the report"
+)]
+
 mod cluster;
 mod explore;
 mod lease;
--- a/crates/hemlockcrank_standin/src/server.rs
+++ b/crates/hemlockcrank_standin/src/server.rs
@@ -355,6 +355,11 @@
                 self.failed = false;
                 return Ok(tagged("ROLLBACK"));
             }
+            Statement::Discard { .. } => {
+                self.prepared.clear();
+                self.portals.clear();
+                return Ok(tagged("DISCARD ALL"));
+            }
             _ if self.failed => {
                 return Err(SqlError::new("25P02", "the transaction is aborted"));
             }
