--- a/crates/hemlockcrank/src/caller/read.rs
+++ b/crates/hemlockcrank/src/caller/read.rs
@@ -148,7 +148,10 @@
         let mut avoid = avoid.to_vec();
         loop {
             let world = self.context.control.world();
-            let candidates = candidates(&world, upstream);
+            let mut candidates = candidates(&world, upstream);
+            if !self.context.settings.limits.replica_reads {
+                candidates.retain(|candidate| candidate.primary);
+            }
             let Some(index) = route::choose(&candidates, floor, &avoid) else {
                 if now_ms() >= deadline {
                     return Err(Failure::no_database("no member is fresh enough in time"));
--- a/crates/hemlockcrank/src/settings.rs
+++ b/crates/hemlockcrank/src/settings.rs
@@ -142,6 +142,8 @@
     pub drain_ms: u64,
     /// Silence after which a statement's connection is examined, in milliseconds.
     pub silence_ms: u64,
+    /// Whether replicas serve reads; without them all reads go to the primary.
+    pub replica_reads: bool,
 }
 
 impl Default for Limits {
@@ -153,6 +155,7 @@
             acknowledge_ms: 10_000,
             drain_ms: 30_000,
             silence_ms: 1_000,
+            replica_reads: true,
         }
     }
 }
--- a/crates/hemlockcrank/tests/site/fixture.rs
+++ b/crates/hemlockcrank/tests/site/fixture.rs
@@ -54,7 +54,7 @@
 }
 
 /// Saves with a request id, so that the outcome is always known.
-pub(crate) async fn save_marked(client: &Client, id: &str) -> Result<(), tokio_postgres::Error> {
+pub(crate) async fn save_marked(client: &Client, id: &str) -> Result<(), Error> {
     let set = format!("SET hemlockcrank.request_id = 'request-{id}'");
     client.batch_execute(&set).await?;
     let insert = format!("INSERT INTO orders (id, sign) VALUES ('{id}', 'brass')");
--- a/crates/hemlockcrank/tests/surfaces.rs
+++ b/crates/hemlockcrank/tests/surfaces.rs
@@ -64,6 +64,7 @@
         "limits.acknowledge_ms",
         "limits.drain_ms",
         "limits.silence_ms",
+        "limits.replica_reads",
         "log",
     ] {
         assert!(
--- /dev/null
+++ b/crates/hemlockcrank_standin/examples/measure/cli.rs
@@ -0,0 +1,11 @@
+//! The command line.
+
+xflags::xflags! {
+    /// Measures on loopback, with stand-in databases.
+    cmd measure {
+        /// What to measure.
+        required name: String
+        /// Prints JSON.
+        optional --json
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank_standin/examples/measure/zone.rs
@@ -0,0 +1,195 @@
+//! Quality of service while an availability zone leaves and returns.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use hemlockcrank_core::{Name, record::Kind};
+use hemlockcrank_standin::{Site, SiteError};
+
+use crate::{
+    load::{group, read, save, settings, start, timed},
+    report::{Report, quantile},
+};
+
+const PHASE: Duration = Duration::from_secs(4);
+const PAUSE: Duration = Duration::from_millis(5);
+const PHASES: [&str; 4] = ["before", "zone leaves and is out", "zone returns", "after"];
+/// Reads for each save.
+const READS: u32 = 8;
+
+#[derive(Clone, Copy)]
+struct Seen {
+    phase: u8,
+    served: bool,
+    unknown: bool,
+    took_ms: f64,
+}
+
+pub(crate) async fn measure() -> Result<Report, SiteError> {
+    let setting = "6 hosts, 1 database of 3 with its primary in recife-a, which leaves and returns; 8 \
+                   callers, reconnecting where told; 4 s a phase";
+    let mut report = Report::new("zone-move", setting);
+    report.rows.extend(run(true).await?.rows);
+    report.rows.extend(run(false).await?.rows);
+    Ok(report)
+}
+
+/// With `planned`, the zone is taken out by its record; else its hosts and member just stop.
+async fn run(planned: bool) -> Result<Report, SiteError> {
+    let workspaces: [Name; 1] = ["abnt".into()];
+    let mut site = start(settings(group()), &workspaces).await?;
+    let phase = Arc::new(AtomicU8::new(0));
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let addresses: Vec<String> = (0..6)
+        .map(|host| site.url(host, "abnt", "abnt-key", crate::load::SERVICE))
+        .collect();
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..8 {
+        let (phase, seen) = (Arc::clone(&phase), Arc::clone(&seen));
+        callers.spawn(call(addresses.clone(), number, phase, seen));
+    }
+    let first = site.groups[0].members()[0].clone();
+    let mut shares = Vec::new();
+    for next in 0..4_u8 {
+        phase.store(next, Ordering::Relaxed);
+        let before = counts(&site);
+        match (next, planned) {
+            (1, true) => change(&site, "out", 0).await?,
+            (2, true) => change(&site, "in_service", 1).await?,
+            (1, false) => {
+                first.kill();
+                site.kill_host(0).await;
+                site.kill_host(1).await;
+            }
+            (2, false) => {
+                first.start();
+                site.start_host(0).await?;
+                site.start_host(1).await?;
+            }
+            _ => {}
+        }
+        tokio::time::sleep(PHASE).await;
+        let after = counts(&site);
+        shares.push((after.0 - before.0, after.1 - before.1));
+    }
+    phase.store(4, Ordering::Relaxed);
+    while callers.join_next().await.is_some() {}
+    let seen = seen.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    Ok(summarize(&seen, &shares, planned))
+}
+
+fn summarize(seen: &[Seen], shares: &[(u64, u64)], planned: bool) -> Report {
+    let mut report = Report::new("", "");
+    for (phase, name) in (0..).zip(PHASES) {
+        let own: Vec<&Seen> = seen.iter().filter(|s| s.phase == phase).collect();
+        let mut times: Vec<f64> = own.iter().filter(|s| s.served).map(|s| s.took_ms).collect();
+        let refused = own.iter().filter(|s| !s.served && !s.unknown).count();
+        let unknown = own.iter().filter(|s| s.unknown).count();
+        let (total, primary) = shares[usize::from(phase)];
+        let how = if planned {
+            "planned"
+        } else {
+            "baseline: unplanned loss"
+        };
+        report.row(
+            format!("{how}, {name}"),
+            vec![
+                ("served", times.len() as f64),
+                ("refused or cut", refused as f64),
+                ("unknown", unknown as f64),
+                ("p50 ms", quantile(&mut times, 0.5)),
+                ("p99 ms", quantile(&mut times, 0.99)),
+                ("worst ms", quantile(&mut times, 1.0)),
+                (
+                    "by replicas %",
+                    100.0 * (total - primary.min(total)) as f64 / total.max(1) as f64,
+                ),
+            ],
+        );
+    }
+    report
+}
+
+/// Statements of all members, and of the present primary.
+fn counts(site: &Site) -> (u64, u64) {
+    let members = site.groups[0].members();
+    let primary = site.groups[0]
+        .primary()
+        .map_or(0, |primary| primary.statements());
+    (members.iter().map(|m| m.statements()).sum(), primary)
+}
+
+async fn change(site: &Site, state: &str, revision: u64) -> Result<(), SiteError> {
+    let operator = site.operator(3);
+    let text = format!(r#"{{"state": "{state}"}}"#);
+    if revision == 0 {
+        operator.submit(Kind::Zone, "recife-a", 2, &text).await?;
+    } else {
+        operator
+            .revise(Kind::Zone, "recife-a", 2, &text, revision)
+            .await?;
+    }
+    Ok(())
+}
+
+/// One caller: eight reads and a save, again and again; the next host when its own ends the connection.
+async fn call(urls: Vec<String>, number: usize, phase: Arc<AtomicU8>, seen: Arc<Mutex<Vec<Seen>>>) {
+    let mut host = number;
+    let mut client = None;
+    for round in 0_u32.. {
+        let now = phase.load(Ordering::Relaxed);
+        if now == 4 {
+            return;
+        }
+        let open = match client.take() {
+            Some(open) => open,
+            None => {
+                let url = &urls[host % urls.len()];
+                let Ok((open, connection)) =
+                    tokio_postgres::connect(url, tokio_postgres::NoTls).await
+                else {
+                    host += 1;
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                };
+                tokio::spawn(async move {
+                    let _ = connection.await;
+                });
+                open
+            }
+        };
+        let id = format!("zone-{number}-{round}");
+        let (outcome, took_ms) = timed(async {
+            if round % READS == 0 {
+                save(&open, &id).await
+            } else {
+                read(&open).await
+            }
+        })
+        .await;
+        let detail = outcome
+            .as_ref()
+            .err()
+            .and_then(|e| e.as_db_error()?.detail().map(str::to_owned));
+        let record = Seen {
+            phase: now,
+            served: outcome.is_ok(),
+            unknown: detail.is_some_and(|detail| detail.contains("unknown")),
+            took_ms,
+        };
+        seen.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(record);
+        if open.is_closed() {
+            host += 1;
+        } else {
+            client = Some(open);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
