Reads refresh samples before the primary; answers of a replaced primary are not awaited

Cause: measured. With a token at 500 ms lag only 80.53 % of the reads went to replicas, and the p99 of token reads was 25 ms against 5 ms without one: the last sample was up to 500 ms old, so no replica seemed fresh enough, and where the primary's sample was old too the read slept 20 ms. With a cut primary the worst gap was 2,739 ms: both savers waited for its answer through the silence limit and the examination over a fresh connection that could not open. Ruled out: the detection (kills take the same way, worst 617 ms). Change: one fresh sample before a read goes to the primary or waits; waiting for an answer ends when another member is committed as primary. Tests: 38 site tests pass.

--- a/crates/hemlockcrank/src/caller/read.rs
+++ b/crates/hemlockcrank/src/caller/read.rs
@@ -146,19 +146,29 @@
         deadline: u64,
     ) -> Result<Turn, Failure> {
         let mut avoid = avoid.to_vec();
+        let mut refreshed = false;
         loop {
             let world = self.context.control.world();
             let mut candidates = candidates(&world, upstream);
-            if !self.context.settings.limits.replica_reads {
+            let replica_reads = self.context.settings.limits.replica_reads;
+            if !replica_reads {
                 candidates.retain(|candidate| candidate.primary);
             }
-            let Some(index) = route::choose(&candidates, floor, &avoid) else {
+            let choice = route::choose(&candidates, floor, &avoid);
+            let by_primary = choice.is_none_or(|index| candidates[index].primary);
+            if by_primary && replica_reads && !refreshed {
+                refreshed = true;
+                let now = Instant::now();
+                upstream.tracker.floor_since(now, now + LOOK_AGAIN).await;
+                continue;
+            }
+            let Some(index) = choice else {
                 if now_ms() >= deadline {
                     return Err(Failure::no_database("no member is fresh enough in time"));
                 }
                 avoid.clear();
-                upstream.tracker.changed(Instant::now() + LOOK_AGAIN).await;
                 tokio::time::sleep(LOOK_AGAIN).await;
+                refreshed = false;
                 continue;
             };
             let member = &candidates[index].name;
--- a/crates/hemlockcrank/src/caller/relay.rs
+++ b/crates/hemlockcrank/src/caller/relay.rs
@@ -1,11 +1,13 @@
 //! Messages between a caller and a database connection.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use hemlockcrank_core::Name;
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage, extendedquery::Close};
 
 use super::{session::Session, unit::Unit};
 use crate::{
+    control::World,
     event::Event,
     pg::{Frame, PgError, tag},
     upstream::{Connection, ConnectionError, Turn, error_fields},
@@ -188,11 +190,28 @@
     }
 
     /// Next message of an answer. A connection that stays silent is examined: its statement may take
-    /// long, or something between the two ends may have lost track of it.
+    /// long, or something between the two ends may have lost track of it. A primary that another one has
+    /// replaced meanwhile is not waited for.
     async fn next_answer(&self, turn: &mut Turn) -> Result<Frame, ConnectionError> {
         let patience = Duration::from_millis(self.context.settings.limits.silence_ms);
+        let database = turn.pool().database().clone();
+        let member = turn.member.clone();
+        let mut watch = self.context.control.watch();
+        let was_primary = is_primary(&watch.borrow_and_update(), &database, &member);
         loop {
-            match tokio::time::timeout(patience, turn.connection.read()).await {
+            let replaced = async {
+                let gone =
+                    |world: &Arc<World>| was_primary && !is_primary(world, &database, &member);
+                if watch.wait_for(gone).await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            let answer = tokio::select! {
+                biased;
+                answer = tokio::time::timeout(patience, turn.connection.read()) => answer,
+                () = replaced => return Err(ConnectionError::Superseded),
+            };
+            match answer {
                 Ok(frame) => return frame,
                 Err(_) if self.still_runs(turn).await => {}
                 Err(_) => {
@@ -229,6 +248,12 @@
     }
 }
 
+/// Whether the member is the committed primary of the database.
+fn is_primary(world: &World, database: &Name, member: &Name) -> bool {
+    let known = world.state.directory.get(database);
+    known.is_some_and(|database| database.primary.as_ref() == Some(member))
+}
+
 /// Name that a Parse message gives its statement, if it gives one.
 fn prepared_name(frame: &Frame) -> Result<Option<String>, PgError> {
     if frame.tag != tag::PARSE {
--- a/crates/hemlockcrank/src/upstream/connection.rs
+++ b/crates/hemlockcrank/src/upstream/connection.rs
@@ -50,6 +50,9 @@
     /// The member closed the connection.
     #[error("the member closed the connection")]
     Closed,
+    /// Another member became primary while the answer was awaited.
+    #[error("another member has become primary")]
+    Superseded,
     /// No answer in time.
     #[error("the member did not answer in time")]
     TimedOut,
--- a/crates/hemlockcrank/src/upstream/pool.rs
+++ b/crates/hemlockcrank/src/upstream/pool.rs
@@ -67,6 +67,11 @@
         })
     }
 
+    /// Database that the member belongs to.
+    pub fn database(&self) -> &Name {
+        &self.database
+    }
+
     /// Address of the member.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/hemlockcrank/src/upstream/tracker.rs
+++ b/crates/hemlockcrank/src/upstream/tracker.rs
@@ -272,14 +272,6 @@
         }
     }
 
-    /// Waits until something is heard of any member.
-    pub async fn changed(&self, deadline: Instant) {
-        let mut known = self.known.subscribe();
-        known.borrow_and_update();
-        self.want_since(Instant::now());
-        let _ = tokio::time::timeout_at(deadline.into(), known.changed()).await;
-    }
-
     /// Gives a member an order and returns its status afterwards; `None` when it did not answer.
     pub async fn order(&self, member: &str, text: String) -> Option<Status> {
         let (answer, status) = oneshot::channel();
