--- a/crates/hemlockcrank/tests/surfaces.rs
+++ b/crates/hemlockcrank/tests/surfaces.rs
@@ -8,7 +8,11 @@
     journal::{Journal, JournalError},
     settings::SettingsError,
 };
-use hemlockcrank_core::consensus::{Data, Entry, Payload, Persist, Saved};
+use hemlockcrank_core::{
+    Name,
+    consensus::{Data, Entry, Payload, Persist, Saved},
+    record::{Action, Change, Digest, Id, Kind, Outcome, Store},
+};
 use hemlockcrank_standin::fresh_folder;
 use rstest::rstest;
 use strum::IntoEnumIterator;
@@ -179,3 +183,75 @@
     }
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+/// One record of an example deployment.
+#[derive(serde::Deserialize)]
+struct Example {
+    kind: Kind,
+    name: Name,
+    schema: u32,
+    body: serde_json::Value,
+}
+
+/// Accepts the records in order, as an operator would submit them.
+fn accept_all(text: &str) -> Store {
+    let examples: Vec<Example> = serde_json::from_str(text).expect("records");
+    let mut store = Store::default();
+    for (index, mut example) in (1..).zip(examples) {
+        if let Some(secret) = example.body.get("secret").and_then(|s| s.as_str()) {
+            let digest = Digest::of("site", secret).to_hex();
+            let workspace = example.body["workspace"].clone();
+            example.body = serde_json::json!({"workspace": workspace, "digest": digest});
+        }
+        let change = Change {
+            op: format!("op-{index}").into(),
+            id: Id::new(example.kind, example.name.clone()),
+            action: Action::Submit {
+                schema: example.schema,
+                text: example.body.to_string().into(),
+            },
+        };
+        let outcome = store.apply(index, &change);
+        assert!(
+            matches!(outcome, Outcome::Accepted { .. }),
+            "{}: {outcome:?}",
+            example.name
+        );
+    }
+    store
+}
+
+#[rstest]
+#[case("consortium", 4, "base-layouts", true)]
+#[case("khedive", 3, "ledger-db", false)]
+fn the_example_deployments_load(
+    #[case] folder: &str,
+    #[case] zones: usize,
+    #[case] service: &str,
+    #[case] open: bool,
+) {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("examples")
+        .join(folder);
+    let mut seen = std::collections::BTreeSet::new();
+    let mut hosts = 0;
+    for file in std::fs::read_dir(&folder).expect("folder") {
+        let path = file.expect("file").path();
+        if path.file_name().is_some_and(|name| name != "records.json") {
+            seen.insert(Settings::load(&path).expect("settings").zone);
+            hosts += 1;
+        }
+    }
+    assert_eq!((hosts, seen.len()), (6, zones));
+
+    let text = std::fs::read_to_string(folder.join("records.json")).expect("records");
+    let store = accept_all(&text);
+    assert_eq!(
+        store.service(service).map(|service| service.open),
+        Some(open)
+    );
+    let workspaces = store
+        .iter()
+        .filter(|record| record.id.kind == Kind::Workspace);
+    assert_eq!(workspaces.count(), 8);
+}
--- a/crates/hemlockctl/src/cli.rs
+++ b/crates/hemlockctl/src/cli.rs
@@ -23,8 +23,8 @@
             required kind: String
             /// Name of the record.
             required name: String
-            /// File with the record in JSON, or - for standard input.
-            required file: PathBuf
+            /// File with the record in JSON; standard input if left out.
+            optional file: PathBuf
             /// Schema version of the file, 1 or 2; 1 if left out.
             optional --schema version: u32
             /// Operation id; sending again with the same one is safe.
@@ -40,8 +40,8 @@
             required kind: String
             /// Name of the record.
             required name: String
-            /// File with the record in JSON, or - for standard input.
-            required file: PathBuf
+            /// File with the record in JSON; standard input if left out.
+            optional file: PathBuf
             /// Revision that the change is based on.
             required --revision number: u64
             /// Schema version of the file, 1 or 2; 1 if left out.
--- a/crates/hemlockctl/src/main.rs
+++ b/crates/hemlockctl/src/main.rs
@@ -18,8 +18,8 @@
 const HOST_VARIABLE: &str = "HEMLOCKCRANK_HOST";
 /// Variable with the operator token.
 const TOKEN_VARIABLE: &str = "HEMLOCKCRANK_TOKEN";
-/// Name that stands for standard input.
-const STANDARD_INPUT: &str = "-";
+/// Name of standard input in reports.
+const STANDARD_INPUT: &str = "standard input";
 
 fn main() -> ExitCode {
     let flags = Hemlockctl::from_env_or_exit();
@@ -53,7 +53,7 @@
         HemlockctlCmd::Submit(submit) => {
             let schema = submit.schema.unwrap_or(1);
             let kind = parse_kind(&submit.kind)?;
-            let text = read_record(&submit.file, kind, schema)?;
+            let text = read_record(submit.file.as_deref(), kind, schema)?;
             let action = Action::Submit { schema, text };
             let target = (kind, submit.name.as_str());
             change(&client, target, action, submit.op, submit.wait, json).await
@@ -63,7 +63,7 @@
             let kind = parse_kind(&revise.kind)?;
             let action = Action::Revise {
                 schema,
-                text: read_record(&revise.file, kind, schema)?,
+                text: read_record(revise.file.as_deref(), kind, schema)?,
                 expected: revise.revision,
             };
             let target = (kind, revise.name.as_str());
@@ -135,7 +135,7 @@
         .or_else(|| std::env::var(HOST_VARIABLE).ok());
     let host = host.ok_or(Failure::NoHost)?;
     let token = match &flags.token_file {
-        Some(path) => read_text(path)?.trim().to_owned(),
+        Some(path) => read_text(Some(path))?.trim().to_owned(),
         None => std::env::var(TOKEN_VARIABLE).map_err(|_| Failure::NoToken)?,
     };
     Ok(Client::new(&host, &token))
@@ -191,7 +191,7 @@
         }
         Some(kind) => {
             let kind = parse_kind(kind)?;
-            read_record(path, kind, schema)?;
+            read_record(Some(path), kind, schema)?;
             say(&format!("{kind} record is good"));
         }
     }
@@ -217,22 +217,21 @@
     pairs.iter().map(parse).collect()
 }
 
-fn read_text(path: &Path) -> Result<String, Failure> {
+fn read_text(path: Option<&Path>) -> Result<String, Failure> {
     let mut text = String::new();
-    let read = if path == STANDARD_INPUT {
-        std::io::stdin().read_to_string(&mut text).map(|_| ())
-    } else {
-        std::fs::read_to_string(path).map(|read| text = read)
+    let read = match path {
+        None => std::io::stdin().read_to_string(&mut text).map(|_| ()),
+        Some(path) => std::fs::read_to_string(path).map(|read| text = read),
     };
     read.map_err(|source| Failure::Unreadable {
-        path: path.to_owned(),
+        path: path.unwrap_or(Path::new(STANDARD_INPUT)).to_owned(),
         source,
     })?;
     Ok(text)
 }
 
 /// Reads a record file and checks it before anything is sent.
-fn read_record(path: &Path, kind: Kind, schema: u32) -> Result<Arc<str>, Failure> {
+fn read_record(path: Option<&Path>, kind: Kind, schema: u32) -> Result<Arc<str>, Failure> {
     use hemlockcrank_core::record::Invalid;
     let text = read_text(path)?;
     let checked = match kind {
@@ -254,7 +253,10 @@
     };
     Err(Failure::Record(Box::new(RecordFailure {
         error,
-        source_code: NamedSource::new(path.display().to_string(), text),
+        source_code: NamedSource::new(
+            path.map_or(STANDARD_INPUT.to_owned(), |path| path.display().to_string()),
+            text,
+        ),
         place,
     })))
 }
