Cut what cannot multiply: shared map versions, cheap hashes, sessions that sleep

(1) Every committed change cloned all records, databases and places, because the published world still refers to the old ones. (2) Every host hashed all hosts for every database 20 times a second, and the leader 40 times. (3) Every idle caller woke at each lease renewal, twice a second. (4) Placement counted all places for each database. Change: imbl maps share their parts; host hashes are kept and mixed, and the watched databases worked out only when hosts or databases change; sessions watch changes of records only; places are counted by database.

--- a/crates/hemlockcrank/src/caller/session.rs
+++ b/crates/hemlockcrank/src/caller/session.rs
@@ -142,9 +142,10 @@
 
     /// Reads one message. An idle caller is told to leave when its key or this host leaves.
     async fn next_frame(&mut self, idle: bool) -> Result<Option<Frame>, PgError> {
-        let mut watch = self.context.control.watch();
+        let mut changes = self.context.control.watch_changes();
         loop {
-            let world = watch.borrow_and_update().clone();
+            changes.borrow_and_update();
+            let world = self.context.control.world();
             let leave = if self.key_is_withdrawn(&world) {
                 Some(Failure::key_withdrawn())
             } else if idle && self.transaction.is_none() && self.host_leaves(&world) {
@@ -160,7 +161,7 @@
             }
             tokio::select! {
                 frame = self.stream.read() => return frame,
-                changed = watch.changed() => {
+                changed = changes.changed() => {
                     if changed.is_err() {
                         return self.stream.read().await;
                     }
--- a/crates/hemlockcrank/src/control.rs
+++ b/crates/hemlockcrank/src/control.rs
@@ -124,6 +124,7 @@
 pub struct Control {
     actor: ActorRef<Message>,
     world: watch::Receiver<Arc<World>>,
+    changes: watch::Receiver<u64>,
     peers: Arc<Peers>,
     host: Host,
 }
@@ -144,6 +145,7 @@
         None => None,
     };
     let (publish, world) = watch::channel(Arc::new(World::default()));
+    let (note_change, changes) = watch::channel(0);
     let arguments = Arguments {
         settings,
         host: host.clone(),
@@ -151,6 +153,7 @@
         timeline,
         journal,
         publish,
+        note_change,
     };
     let (ready, started) = tokio::sync::oneshot::channel();
     std::thread::Builder::new()
@@ -161,6 +164,7 @@
     Ok(Control {
         actor,
         world,
+        changes,
         peers,
         host,
     })
@@ -192,6 +196,12 @@
         self.world.clone()
     }
 
+    /// A receiver that sees only changes to records and the beginning of a shutdown. A lease renewal does
+    /// not wake it, so every idle caller may hold one.
+    pub fn watch_changes(&self) -> watch::Receiver<u64> {
+        self.changes.clone()
+    }
+
     /// Name and addresses of this host.
     pub fn host(&self) -> &Host {
         &self.host
--- a/crates/hemlockcrank/src/control/actor.rs
+++ b/crates/hemlockcrank/src/control/actor.rs
@@ -74,6 +74,7 @@
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) journal: Option<Journal>,
     pub(crate) publish: watch::Sender<Arc<World>>,
+    pub(crate) note_change: watch::Sender<u64>,
 }
 
 struct Held {
@@ -91,6 +92,7 @@
     peers: Arc<Peers>,
     timeline: Arc<Timeline>,
     publish: watch::Sender<Arc<World>>,
+    note_change: watch::Sender<u64>,
     myself: ActorRef<Message>,
     random: ChaCha8Rng,
     group: Option<Group>,
@@ -153,6 +155,7 @@
             peers: arguments.peers,
             timeline: arguments.timeline,
             publish: arguments.publish,
+            note_change: arguments.note_change,
             myself,
             random: ChaCha8Rng::seed_from_u64(seed),
             group,
@@ -696,11 +699,15 @@
             return;
         }
         self.published = Some(key);
-        self.publish.send_replace(Arc::new(World {
+        let old = self.publish.send_replace(Arc::new(World {
             state: self.state.clone(),
             lease,
             draining: self.draining,
         }));
+        let same_records = Arc::ptr_eq(&old.state.records, &self.state.records);
+        if !same_records || old.draining != self.draining {
+            self.note_change.send_modify(|count| *count += 1);
+        }
     }
 
     fn status(&self) -> Status {
--- a/crates/hemlockcrank/src/watcher.rs
+++ b/crates/hemlockcrank/src/watcher.rs
@@ -6,7 +6,7 @@
 //! [`Handoff`](hemlockcrank_core::failover::Handoff).
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -14,8 +14,9 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use hemlockcrank_core::{
     Name,
-    directory::{Database, Promotion, Role},
+    directory::{Database, Directory, Promotion, Role},
     failover::{Handoff, Order, POLL_MS, Report, Status, Step, WATCHERS, Watch},
+    membership::View,
     state::Command,
 };
 
@@ -43,6 +44,7 @@
 /// This host's watches.
 #[derive(Default)]
 pub(crate) struct Watcher {
+    assigned: Assigned,
     watches: HashMap<Name, Watch>,
     suspected: HashSet<Name>,
     reported_at: u64,
@@ -50,6 +52,37 @@
     running: Arc<Mutex<HashSet<(Name, u64)>>>,
 }
 
+/// Databases that this host watches or moves, worked out anew only when hosts or databases change.
+#[derive(Default)]
+struct Assigned {
+    view: Arc<View>,
+    directory: Arc<Directory>,
+    databases: BTreeSet<Name>,
+}
+
+impl Assigned {
+    /// Returns whether the assignment was worked out anew.
+    fn refresh(&mut self, world: &World, host: &Name) -> bool {
+        let state = &world.state;
+        let same =
+            Arc::ptr_eq(&self.view, &state.view) && Arc::ptr_eq(&self.directory, &state.directory);
+        if same {
+            return false;
+        }
+        self.view = Arc::clone(&state.view);
+        self.directory = Arc::clone(&state.directory);
+        let own = self.directory.iter().filter(|(name, database)| {
+            let executes = database
+                .promotion
+                .as_ref()
+                .is_some_and(|p| p.executor == *host);
+            executes || self.view.spread(name, WATCHERS).contains(host)
+        });
+        self.databases = own.map(|(name, _)| name.clone()).collect();
+        true
+    }
+}
+
 impl Watcher {
     /// Looks until dropped.
     pub(crate) async fn run(mut self, context: Arc<Context>) {
@@ -61,36 +94,48 @@
     }
 
     fn look(&mut self, context: &Arc<Context>, world: &World) {
-        let host = &context.control.host().name;
         let now = now_ms();
+        if self.assigned.refresh(world, &context.control.host().name) {
+            self.drop_others(context, world);
+        }
         let mut reports = Vec::new();
-        for (name, database) in world.state.directory.iter() {
-            let watches = world.state.view.spread(name, WATCHERS).contains(host);
-            let executes = database
-                .promotion
-                .as_ref()
-                .filter(|promotion| promotion.executor == *host);
-            if !watches && executes.is_none() {
-                if self.watches.remove(name).is_some()
-                    && let Some(upstream) = context.upstreams.get(world, name)
-                {
-                    upstream.tracker.set_watching(false);
-                }
+        for name in self.assigned.databases.clone() {
+            let Some(database) = world.state.directory.get(&name) else {
                 continue;
-            }
-            let Some(upstream) = context.upstreams.get(world, name) else {
+            };
+            let Some(upstream) = context.upstreams.get(world, &name) else {
                 continue;
             };
             upstream.tracker.set_watching(true);
-            reports.push(self.watch(context, now, name, database, &upstream));
+            reports.push(self.watch(context, now, &name, database, &upstream));
             self.tell_followers(context, now, database, &upstream);
-            if let Some(promotion) = executes {
-                self.execute(context, name, database, promotion, &upstream);
+            let host = &context.control.host().name;
+            if let Some(promotion) = &database.promotion
+                && promotion.executor == *host
+            {
+                self.execute(context, &name, database, promotion, &upstream);
             }
         }
         self.report(context, now, reports);
     }
 
+    /// Stops watching databases that other hosts watch now.
+    fn drop_others(&mut self, context: &Context, world: &World) {
+        let kept = &self.assigned.databases;
+        let dropped: Vec<Name> = self
+            .watches
+            .keys()
+            .filter(|n| !kept.contains(*n))
+            .cloned()
+            .collect();
+        for name in dropped {
+            self.watches.remove(&name);
+            if let Some(upstream) = context.upstreams.get(world, &name) {
+                upstream.tracker.set_watching(false);
+            }
+        }
+    }
+
     fn watch(
         &mut self,
         context: &Context,
--- a/crates/hemlockcrank_core/src/directory.rs
+++ b/crates/hemlockcrank_core/src/directory.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
@@ -134,10 +135,10 @@
     }
 }
 
-/// All databases by name.
+/// All databases by name; versions share their parts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Directory {
-    databases: BTreeMap<Name, Database>,
+    databases: OrdMap<Name, Database>,
 }
 
 impl Directory {
--- a/crates/hemlockcrank_core/src/failover/panel.rs
+++ b/crates/hemlockcrank_core/src/failover/panel.rs
@@ -67,6 +67,10 @@
         view: &View,
         wanted: Option<&Name>,
     ) -> Verdict {
+        if database.promotion.is_none() && wanted.is_none() && !self.is_suspected(now) {
+            self.begun = None;
+            return Verdict::Wait;
+        }
         let watchers = view.spread(name, WATCHERS);
         let Some(promotion) = &database.promotion else {
             self.begun = None;
@@ -87,6 +91,12 @@
         self.begin(now, database, &watchers, None, Some(&tried))
     }
 
+    /// Whether anyone has missed the primary lately; cheap, for the many databases that are well.
+    fn is_suspected(&self, now: u64) -> bool {
+        let mut opinions = self.opinions.values();
+        opinions.any(|opinion| opinion.report.suspects && now < opinion.at + REPORT_MS)
+    }
+
     fn is_agreed(&self, now: u64, database: &Database, watchers: &[Name]) -> bool {
         let suspecting = watchers
             .iter()
--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -17,11 +17,9 @@
 //! assert!(before == after || before.as_deref() == Some("c"));
 //! ```
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
@@ -58,19 +56,27 @@
     }
 }
 
-/// All live hosts as of one log index.
+/// All live hosts as of one log index; versions share their parts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
-    hosts: BTreeMap<Name, Host>,
+    hosts: OrdMap<Name, Listed>,
+}
+
+/// A host with the hash of its name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Listed {
+    host: Host,
+    hash: u64,
 }
 
 impl View {
     /// Adds a host, unless a newer incarnation of it is known; returns whether the view changed.
     pub fn insert(&mut self, host: Host) -> bool {
-        match self.hosts.get(&host.name) {
+        match self.get(&host.name) {
             Some(known) if *known == host || known.incarnation > host.incarnation => false,
             _ => {
-                self.hosts.insert(host.name.clone(), host);
+                let hash = hash(&host.name);
+                self.hosts.insert(host.name.clone(), Listed { host, hash });
                 true
             }
         }
@@ -79,7 +85,6 @@
     /// Removes a host, unless a newer incarnation of it has come; returns whether the view changed.
     pub fn remove(&mut self, name: &str, incarnation: u64) -> bool {
         let same = self
-            .hosts
             .get(name)
             .is_some_and(|host| host.incarnation <= incarnation);
         if same {
@@ -90,12 +95,12 @@
 
     /// The host of that name.
     pub fn get(&self, name: &str) -> Option<&Host> {
-        self.hosts.get(name)
+        self.hosts.get(name).map(|listed| &listed.host)
     }
 
     /// All hosts in order of name.
     pub fn iter(&self) -> impl Iterator<Item = &Host> {
-        self.hosts.values()
+        self.hosts.values().map(|listed| &listed.host)
     }
 
     /// Number of live hosts.
@@ -110,37 +115,56 @@
 
     /// The one host that owns `key`.
     pub fn owner(&self, key: &str) -> Option<&Name> {
-        self.hosts.keys().max_by_key(|name| score(key, name))
+        let key = hash(key);
+        let best = self.hosts.values().max_by_key(|listed| score(key, listed));
+        best.map(|listed| &listed.host.name)
     }
 
     /// Up to `count` hosts for `key`, in different availability zones as far as there are enough.
     pub fn spread(&self, key: &str, count: usize) -> Vec<Name> {
-        let mut ranked: Vec<&Host> = self.hosts.values().collect();
-        ranked.sort_by_key(|host| std::cmp::Reverse(score(key, &host.name)));
-        let mut chosen: Vec<Name> = Vec::new();
-        let mut zones: BTreeSet<&Name> = BTreeSet::new();
-        for host in &ranked {
-            if chosen.len() < count && zones.insert(&host.zone) {
-                chosen.push(host.name.clone());
+        let key = hash(key);
+        let mut best: BTreeMap<&Name, (u64, &Host)> = BTreeMap::new();
+        for listed in self.hosts.values() {
+            let entry = (score(key, listed), &listed.host);
+            let known = best.entry(&listed.host.zone).or_insert(entry);
+            if entry.0 > known.0 {
+                *known = entry;
             }
         }
-        for host in ranked {
-            if chosen.len() < count && !chosen.contains(&host.name) {
-                chosen.push(host.name.clone());
+        let mut chosen: Vec<(u64, &Host)> = best.into_values().collect();
+        chosen.sort_by_key(|(score, _)| Reverse(*score));
+        chosen.truncate(count);
+        let mut names: Vec<Name> = chosen.into_iter().map(|(_, h)| h.name.clone()).collect();
+        if names.len() < count {
+            self.fill(key, count, &mut names);
+        }
+        names
+    }
+
+    /// Adds the best of the hosts that are not chosen yet.
+    fn fill(&self, key: u64, count: usize, names: &mut Vec<Name>) {
+        let mut ranked: Vec<&Listed> = self.hosts.values().collect();
+        ranked.sort_by_key(|listed| Reverse(score(key, listed)));
+        for listed in ranked {
+            if names.len() < count && !names.contains(&listed.host.name) {
+                names.push(listed.host.name.clone());
             }
         }
-        chosen
     }
 }
 
-/// Rank of `name` for `key`, the same on every host and build.
-fn score(key: &str, name: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(key.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(name.as_bytes());
-    let bytes = hasher.finalize();
+/// Hash of a name or key, the same on every host and build.
+fn hash(text: &str) -> u64 {
+    let digest = blake3::hash(text.as_bytes());
     let mut head = [0; 8];
-    head.copy_from_slice(&bytes.as_bytes()[..8]);
+    head.copy_from_slice(&digest.as_bytes()[..8]);
     u64::from_le_bytes(head)
 }
+
+/// Rank of a host for a key: a mix of both hashes (the finalizer of SplitMix64).
+fn score(key: u64, listed: &Listed) -> u64 {
+    let mut mixed = key ^ listed.hash.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/hemlockcrank_core/src/placement.rs
+++ b/crates/hemlockcrank_core/src/placement.rs
@@ -1,7 +1,6 @@
 //! Which database holds a workspace: committed once, never recomputed.
 
-use std::collections::BTreeMap;
-
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use crate::{Name, directory::Directory, record};
@@ -15,10 +14,12 @@
     pub service: Name,
 }
 
-/// All placements.
+/// All placements; versions share their parts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placements {
-    chosen: BTreeMap<Place, Name>,
+    chosen: OrdMap<Place, Name>,
+    /// Workspaces of each database.
+    held: OrdMap<Name, u64>,
 }
 
 impl Placements {
@@ -42,14 +43,15 @@
         directory
             .of_service(service)
             .filter(|name| records.database_in_service(name))
-            .min_by_key(|name| self.chosen.values().filter(|held| held == name).count())
+            .min_by_key(|name| self.held.get(*name).copied().unwrap_or(0))
             .cloned()
     }
 
     /// Records a committed placement; the first one stands.
     pub(crate) fn commit(&mut self, place: &Place, database: &Name) {
-        self.chosen
-            .entry(place.clone())
-            .or_insert_with(|| database.clone());
+        if !self.chosen.contains_key(place) {
+            self.chosen.insert(place.clone(), database.clone());
+            *self.held.entry(database.clone()).or_insert(0) += 1;
+        }
     }
 }
--- a/crates/hemlockcrank_core/src/record/store.rs
+++ b/crates/hemlockcrank_core/src/record/store.rs
@@ -1,7 +1,6 @@
 //! All records in force, and the answers already given.
 
-use std::collections::{BTreeMap, VecDeque};
-
+use imbl::{OrdMap, Vector};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -49,12 +48,13 @@
     Name,
 }
 
-/// All records and recent answers.
+/// All records and recent answers. The maps share their parts between versions, so a change costs the
+/// same however many records there are.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Store {
-    records: BTreeMap<Id, Record>,
-    answers: BTreeMap<Name, Outcome>,
-    answer_order: VecDeque<Name>,
+    records: OrdMap<Id, Record>,
+    answers: OrdMap<Name, Outcome>,
+    answer_order: Vector<Name>,
 }
 
 impl Store {
--- a/crates/hemlockcrank_standin/examples/measure/slopes.rs
+++ b/crates/hemlockcrank_standin/examples/measure/slopes.rs
@@ -84,15 +84,18 @@
         for (name, make) in kinds {
             let before = resident_bytes();
             let mut state = State::default();
+            let mut published = state.clone();
             let mut index = 0;
             let started = std::time::Instant::now();
             for number in 0..size {
                 for command in make(number) {
                     index += 1;
                     state.apply(index, Some(&command));
+                    published = state.clone();
                 }
             }
             let us = started.elapsed().as_secs_f64() * 1_000_000.0 / index as f64;
+            drop(published);
             let bytes = encoded_bytes(&state) / size as f64;
             let resident = (resident_bytes() - before).max(0.0) / size as f64;
             let figures = vec![
--- a/crates/hemlockcrank_standin/examples/measure/zone.rs
+++ b/crates/hemlockcrank_standin/examples/measure/zone.rs
@@ -75,7 +75,10 @@
         }
         tokio::time::sleep(PHASE).await;
         let after = counts(&site);
-        shares.push((after.0 - before.0, after.1 - before.1));
+        shares.push((
+            after.0.saturating_sub(before.0),
+            after.1.saturating_sub(before.1),
+        ));
     }
     phase.store(4, Ordering::Relaxed);
     while callers.join_next().await.is_some() {}
@@ -115,13 +118,29 @@
     report
 }
 
-/// Statements of all members, and of the present primary.
+/// Reads that the hosts counted, in all and by primaries.
 fn counts(site: &Site) -> (u64, u64) {
-    let members = site.groups[0].members();
-    let primary = site.groups[0]
-        .primary()
-        .map_or(0, |primary| primary.statements());
-    (members.iter().map(|m| m.statements()).sum(), primary)
+    let (mut total, mut primary) = (0, 0);
+    for host in 0..6 {
+        let Some(daemon) = site.daemon(host) else {
+            continue;
+        };
+        let text = daemon.context().metrics.render();
+        for line in text
+            .lines()
+            .filter(|line| line.starts_with("hemlockcrank_reads"))
+        {
+            let value = line.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok());
+            let value = value.unwrap_or(0.0) as u64;
+            total += value;
+            primary += if line.contains("\"primary\"") {
+                value
+            } else {
+                0
+            };
+        }
+    }
+    (total, primary)
 }
 
 async fn change(site: &Site, state: &str, revision: u64) -> Result<(), SiteError> {
--- a/crates/hemlockcrank_standin/src/site.rs
+++ b/crates/hemlockcrank_standin/src/site.rs
@@ -356,14 +356,15 @@
         address: listen.peer,
     });
     let peers: Vec<Peer> = peers.collect();
+    let voters = choose_voters(&site.hosts);
     let settings = names.iter().enumerate().map(|(index, name)| Settings {
         host: name.clone(),
         zone: site.hosts[index].clone(),
         listen: listens[index].clone(),
         advertise_peer: None,
         peers: peers.iter().filter(|p| p.host != *name).cloned().collect(),
-        data_dir: (index < VOTERS).then(|| folder.join(&**name)),
-        bootstrap: names.iter().take(VOTERS).cloned().collect(),
+        data_dir: voters.contains(&index).then(|| folder.join(&**name)),
+        bootstrap: voters.iter().map(|index| names[*index].clone()).collect(),
         secrets: Secrets {
             peer: "peer-secret".into(),
             operator: OPERATOR_TOKEN.into(),
@@ -380,6 +381,15 @@
     Ok(settings.collect())
 }
 
+/// Hosts that form the control group, in different zones as far as there are enough.
+fn choose_voters(zones: &[Name]) -> Vec<usize> {
+    let first = |index: &usize| !zones[..*index].contains(&zones[*index]);
+    let (mut voters, others): (Vec<usize>, Vec<usize>) = (0..zones.len()).partition(first);
+    voters.extend(others);
+    voters.truncate(VOTERS);
+    voters
+}
+
 /// Puts a link between every two hosts.
 fn link_hosts(hosts: &mut [Settings]) -> std::io::Result<BTreeMap<(usize, usize), Link>> {
     let names: Vec<Name> = hosts.iter().map(|host| host.host.clone()).collect();
