A commit caught by a change of primary is followed to its end; quieter idle hosts

What the next primary began with says whether it holds that position, and this stays true once a majority holds an entry of the new primary's own term: before that, another change may bring the old log back. Change: FinishPromotion carries the new primary's last entry; a commit that no majority confirmed is judged by it (request::survived), answered when it survived, tried again when it did not. Idle hosts tick less.

--- a/crates/hemlockcrank/src/caller/transaction.rs
+++ b/crates/hemlockcrank/src/caller/transaction.rs
@@ -2,7 +2,12 @@
 
 use std::{sync::Arc, time::Instant};
 
-use hemlockcrank_core::{request::Stage, statement::Class};
+use hemlockcrank_core::{
+    Name,
+    request::{Outcome, Stage},
+    session::Position,
+    statement::Class,
+};
 use pgwire::messages::response::TransactionStatus;
 
 use super::{
@@ -10,6 +15,7 @@
     relay::{Collected, IDLE, RelayError},
     session::{Ended, Session},
     unit::Unit,
+    write::{Claim, Held},
 };
 use crate::{
     pg::PgError,
@@ -162,7 +168,7 @@
         &mut self,
         mut transaction: Transaction,
         collected: Collected,
-        marker: Option<&super::write::Claim>,
+        marker: Option<&Claim>,
     ) -> Result<Ended, PgError> {
         transaction.status = collected.status;
         let ended = collected.status == IDLE;
@@ -170,15 +176,11 @@
         if ended && worked && transaction.wrote && !transaction.read_only {
             let upstream = Arc::clone(&transaction.upstream);
             let held = self.acknowledge(&mut transaction.turn, &upstream).await;
-            if !held {
+            if let Held::Unknown(write) = held {
                 transaction.abandon();
-                let failure = self.explain(Stage::Committed, &upstream.name, marker).await;
-                if failure.outcome != hemlockcrank_core::request::Outcome::Ran {
-                    return Ok(Err(failure));
-                }
-                self.queue_collected(&collected);
-                self.ready().await?;
-                return Ok(Ok(()));
+                return self
+                    .finish_unknown(&upstream.name, &collected, marker, write)
+                    .await;
             }
             self.context.metrics.write();
         }
@@ -195,6 +197,30 @@
         Ok(Ok(()))
     }
 
+    /// Ends a transaction that committed and is not known to be held by a majority.
+    async fn finish_unknown(
+        &mut self,
+        database: &Name,
+        collected: &Collected,
+        marker: Option<&Claim>,
+        write: Option<Position>,
+    ) -> Result<Ended, PgError> {
+        let outcome = match marker {
+            Some(claim) => self.resolve(database, claim).await,
+            None => self.follow_commit(database, write).await,
+        };
+        match outcome {
+            Outcome::NotRun => return Ok(Err(Failure::transaction_lost())),
+            Outcome::Unknown => return Ok(Err(Failure::unknown())),
+            Outcome::Ran => {}
+        }
+        self.context.metrics.write();
+        self.queue_collected(collected);
+        self.queue_token()?;
+        self.ready().await?;
+        Ok(Ok(()))
+    }
+
     /// Drops an open transaction because its next statement is refused; it rolls back.
     pub(crate) async fn roll_back(&mut self) {
         if let Some(transaction) = self.transaction.take() {
--- a/crates/hemlockcrank/src/caller/write.rs
+++ b/crates/hemlockcrank/src/caller/write.rs
@@ -8,8 +8,8 @@
 use hemlockcrank_core::{
     Name,
     directory::Role,
-    request::{Found, Marker, Outcome, Stage, judge},
-    session::Watermark,
+    request::{Found, Marker, Outcome, Stage, judge, survived},
+    session::{Position, Watermark},
 };
 
 use super::{
@@ -21,7 +21,7 @@
 use crate::{
     clock::now_ms,
     control::World,
-    event::Event,
+    event::{Event, Timeline},
     pg::PgError,
     upstream::{Connection, ConnectionError, Turn, Upstream},
 };
@@ -44,6 +44,14 @@
     pub(crate) marker: Marker,
 }
 
+/// Whether a commit is known to be held by a majority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Held {
+    ByMajority,
+    /// Not known; the position where the database put it, if that is known.
+    Unknown(Option<Position>),
+}
+
 /// How one try of a write ended.
 enum Try {
     /// The caller has its answer.
@@ -204,7 +212,7 @@
 
     async fn finish_plain(
         &mut self,
-        mut turn: Turn,
+        turn: Turn,
         upstream: &Arc<Upstream>,
         collected: Collected,
     ) -> Result<Try, PgError> {
@@ -215,12 +223,27 @@
             return Ok(Try::Answered);
         }
         let ran = collected.error.is_none() || collected.committed;
-        if ran && !self.acknowledge(&mut turn, upstream).await {
-            let failure = self.explain(Stage::Committed, &upstream.name, None).await;
-            return Ok(Try::Failed(failure));
+        let mut kept = Some(turn);
+        if ran && let Some(mut turn) = kept.take() {
+            match self.acknowledge(&mut turn, upstream).await {
+                Held::ByMajority => kept = Some(turn),
+                Held::Unknown(write) => {
+                    drop(turn);
+                    match self.follow_commit(&upstream.name, write).await {
+                        Outcome::Ran => {}
+                        Outcome::NotRun if !collected.relayed => {
+                            return Ok(Try::Again(Failure::transaction_lost()));
+                        }
+                        Outcome::NotRun => return Ok(Try::Failed(Failure::transaction_lost())),
+                        Outcome::Unknown => return Ok(Try::Failed(Failure::unknown())),
+                    }
+                }
+            }
         }
         self.answer_write(&collected, ran).await?;
-        self.keep(turn, &collected);
+        if let Some(turn) = kept {
+            self.keep(turn, &collected);
+        }
         Ok(Try::Answered)
     }
 
@@ -244,8 +267,10 @@
             }
             Ok(answer) if answer.failed_with(DUPLICATE) => Stage::CommitSent,
             Ok(answer) if answer.error.is_some() => Stage::Rejected,
-            Ok(_) if self.acknowledge(&mut turn, upstream).await => Stage::Acknowledged,
-            Ok(_) => Stage::Committed,
+            Ok(_) => match self.acknowledge(&mut turn, upstream).await {
+                Held::ByMajority => Stage::Acknowledged,
+                Held::Unknown(_) => Stage::Committed,
+            },
             Err(_) => Stage::CommitSent,
         };
         let outcome = match judge(stage) {
@@ -287,25 +312,73 @@
     }
 
     /// Waits until a majority holds what the connection has just committed, and notes it as written.
-    pub(crate) async fn acknowledge(&mut self, turn: &mut Turn, upstream: &Upstream) -> bool {
+    pub(crate) async fn acknowledge(&mut self, turn: &mut Turn, upstream: &Upstream) -> Held {
         let limit = Duration::from_millis(self.context.settings.limits.acknowledge_ms);
         let deadline = Instant::now() + limit;
         let status = tokio::time::timeout(limit, turn.connection.status()).await;
         let Ok(Ok((status, _))) = status else {
-            return false;
+            return Held::Unknown(None);
         };
         let write = status.last;
         if status.role != Role::Primary || status.adopted != write.term {
-            return false;
+            return Held::Unknown(None);
         }
         if !upstream.tracker.acknowledged(write, deadline).await {
-            return false;
+            return Held::Unknown(Some(write));
         }
+        self.note_written(&upstream.name, write);
+        Held::ByMajority
+    }
+
+    fn note_written(&mut self, database: &Name, position: Position) {
         self.own.written = Some(Watermark {
-            database: upstream.name.clone(),
-            position: write,
+            database: database.clone(),
+            position,
         });
-        true
+    }
+
+    /// Finds out whether a commit at a known position outlived a change of primary.
+    ///
+    /// What the next primary began with decides, once a majority holds an entry of its own term: before
+    /// that, another change could still bring the old log back.
+    pub(crate) async fn follow_commit(
+        &mut self,
+        database: &Name,
+        write: Option<Position>,
+    ) -> Outcome {
+        let Some(write) = write else {
+            return Outcome::Unknown;
+        };
+        let deadline = self.deadline_ms();
+        let mut outcome = Outcome::Unknown;
+        while outcome == Outcome::Unknown && now_ms() < deadline {
+            let Ok((mut turn, upstream)) = self.writer(database, deadline).await else {
+                break;
+            };
+            let world = self.context.control.world();
+            let known = world.state.directory.get(database);
+            let base = known.and_then(|database| database.base);
+            let moved = known.is_some_and(|database| database.term > write.term);
+            if moved && let Some(settled) = self.settled_at(&mut turn, &upstream).await {
+                let Some(survived) = base.and_then(|base| survived(write, &base)) else {
+                    break;
+                };
+                outcome = if survived {
+                    Outcome::Ran
+                } else {
+                    Outcome::NotRun
+                };
+                if survived {
+                    self.note_written(database, settled);
+                }
+                turn.finish();
+            } else {
+                tokio::time::sleep(TRY_AGAIN).await;
+            }
+        }
+        let position = format!("{}:{}", write.term, write.index);
+        note_resolved(&self.context.timeline, &position, outcome);
+        outcome
     }
 
     // ---------------------------------------------------------------------------------------------
@@ -330,7 +403,7 @@
     }
 
     /// Finds out whether an attempt committed, and makes sure that it never does if it has not.
-    async fn resolve(&self, database: &Name, claim: &Claim) -> Outcome {
+    pub(crate) async fn resolve(&self, database: &Name, claim: &Claim) -> Outcome {
         let deadline = now_ms() + self.context.settings.limits.acknowledge_ms;
         let mut outcome = Outcome::Unknown;
         while outcome == Outcome::Unknown && now_ms() < deadline {
@@ -339,7 +412,7 @@
             };
             let found = void(&mut turn.connection, &claim.marker).await;
             if let Ok(Some(found)) = found
-                && self.is_settled(&mut turn, &upstream).await
+                && self.settled_at(&mut turn, &upstream).await.is_some()
             {
                 outcome = found;
                 turn.finish();
@@ -347,21 +420,18 @@
                 tokio::time::sleep(TRY_AGAIN).await;
             }
         }
-        let fields: [(&str, &dyn std::fmt::Display); 2] =
-            [("request", &claim.request), ("outcome", &outcome)];
-        self.context.timeline.emit(Event::OutcomeResolved, &fields);
+        note_resolved(&self.context.timeline, &claim.request, outcome);
         outcome
     }
 
-    /// Whether everything that the connection has seen is held by a majority.
-    async fn is_settled(&self, turn: &mut Turn, upstream: &Upstream) -> bool {
+    /// Position up to which a majority holds everything that the connection has seen.
+    async fn settled_at(&self, turn: &mut Turn, upstream: &Upstream) -> Option<Position> {
         let limit = Duration::from_millis(self.context.settings.limits.acknowledge_ms);
-        let Ok((status, _)) = turn.connection.status().await else {
-            return false;
-        };
+        let (status, _) = turn.connection.status().await.ok()?;
         let current = status.role == Role::Primary && status.adopted == status.last.term;
         let deadline = Instant::now() + limit;
-        current && upstream.tracker.acknowledged(status.last, deadline).await
+        let held = current && upstream.tracker.acknowledged(status.last, deadline).await;
+        held.then_some(status.last)
     }
 
     /// Writes the marker of the next request into the open transaction, before its commit.
@@ -381,6 +451,12 @@
     }
 }
 
+fn note_resolved(timeline: &Timeline, request: &str, outcome: Outcome) {
+    let fields: [(&str, &dyn std::fmt::Display); 2] =
+        [("request", &request), ("outcome", &outcome)];
+    timeline.emit(Event::OutcomeResolved, &fields);
+}
+
 /// Why a claim was not written.
 enum ClaimError {
     /// The request has run before.
--- a/crates/hemlockcrank/src/control/actor.rs
+++ b/crates/hemlockcrank/src/control/actor.rs
@@ -36,8 +36,10 @@
     settings::Settings,
 };
 
-/// Interval between two ticks.
-const TICK: Duration = Duration::from_millis(25);
+/// Interval between two ticks of a host with a control disk.
+const VOTER_TICK: Duration = Duration::from_millis(25);
+/// Interval between two ticks of any other host.
+const HOST_TICK: Duration = Duration::from_millis(100);
 /// Interval between two questions of a fresh disk, in milliseconds.
 const FORM_MS: u64 = 200;
 /// Interval between two requests to join, in milliseconds.
@@ -121,7 +123,12 @@
         myself: ActorRef<Message>,
         arguments: Arguments,
     ) -> Result<Control, ActorProcessingErr> {
-        myself.send_interval(TICK, || Message::Tick);
+        let tick = if arguments.journal.is_some() {
+            VOTER_TICK
+        } else {
+            HOST_TICK
+        };
+        myself.send_interval(tick, || Message::Tick);
         Ok(Control::new(arguments, myself))
     }
 
@@ -665,6 +672,7 @@
                     database,
                     term,
                     member,
+                    ..
                 },
                 Reply::Done,
             ) => {
--- a/crates/hemlockcrank/src/limits.rs
+++ b/crates/hemlockcrank/src/limits.rs
@@ -40,6 +40,8 @@
 const EMPTY_PATIENCE_MS: u64 = 250;
 /// Interval at which unused tokens are looked for.
 const SWEEP: Duration = Duration::from_millis(100);
+/// The same while no tokens are held. Shorter than a loan less a sweep, so none ends unseen.
+const IDLE_SWEEP: Duration = Duration::from_millis(200);
 /// Time until which an old owner and all its loans may act after a view change, in milliseconds.
 const OLD_OWNER_MS: u64 = lease::TERM_MS + LOAN_MS + LOAN_MARGIN_MS;
 
@@ -90,14 +92,18 @@
             let world = watch.borrow_and_update().clone();
             let host = &self.control.host().name;
             lock(&self.tenures).note(now_ms(), world.state.index, &world.state.view, host);
-            self.give_back_unused(&world);
+            let sweep = if self.give_back_unused(&world) {
+                SWEEP
+            } else {
+                IDLE_SWEEP
+            };
             tokio::select! {
                 changed = watch.changed() => {
                     if changed.is_err() {
                         return;
                     }
                 }
-                () = tokio::time::sleep(SWEEP) => {}
+                () = tokio::time::sleep(sweep) => {}
             }
         }
     }
@@ -275,16 +281,19 @@
         Arc::clone(borrowers.entry(workspace.clone()).or_default())
     }
 
-    /// Returns tokens that would end unused, and drops buckets that have another owner.
-    fn give_back_unused(self: &Arc<Self>, world: &World) {
+    /// Returns tokens that would end unused, and drops buckets that have another owner; whether tokens
+    /// are held.
+    fn give_back_unused(self: &Arc<Self>, world: &World) -> bool {
         let now = now_ms();
         let within = u64::try_from(SWEEP.as_millis()).unwrap_or(u64::MAX) * 2;
         let host = &self.control.host().name;
         let owned = |workspace: &Name| world.state.view.owner(workspace) == Some(host);
         lock(&self.buckets).retain(|workspace, bucket| owned(workspace) || bucket.is_lent(now));
         let borrowers: Vec<_> = lock(&self.borrowers).clone().into_iter().collect();
+        let mut holds = false;
         for (workspace, borrower) in borrowers {
             let mut purse = lock(&borrower.purse);
+            holds |= purse.holds();
             if !purse.ends_soon(now, within) {
                 continue;
             }
@@ -297,6 +306,7 @@
                 limits.borrow(&workspace, 0, settled).await;
             });
         }
+        holds
     }
 }
 
--- a/crates/hemlockcrank/src/watcher.rs
+++ b/crates/hemlockcrank/src/watcher.rs
@@ -86,10 +86,15 @@
 impl Watcher {
     /// Looks until dropped.
     pub(crate) async fn run(mut self, context: Arc<Context>) {
+        let mut watch = context.control.watch();
         loop {
-            let world = context.control.world();
+            let world = watch.borrow_and_update().clone();
             self.look(&context, &world);
-            tokio::time::sleep(LOOK).await;
+            if self.assigned.databases.is_empty() {
+                let _ = watch.changed().await;
+            } else {
+                tokio::time::sleep(LOOK).await;
+            }
         }
     }
 
@@ -280,6 +285,7 @@
                     database: database.clone(),
                     term,
                     member,
+                    last: handoff.base(),
                 };
                 let _ = context.control.command(command).await;
                 return;
--- a/crates/hemlockcrank_core/src/allotment/purse.rs
+++ b/crates/hemlockcrank_core/src/allotment/purse.rs
@@ -107,6 +107,11 @@
         Some(std::mem::take(&mut self.done))
     }
 
+    /// Whether any tokens are held.
+    pub fn holds(&self) -> bool {
+        !self.held.is_empty()
+    }
+
     /// Whether some held tokens end before `now + within_ms`.
     pub fn ends_soon(&self, now: u64, within_ms: u64) -> bool {
         self.held
--- a/crates/hemlockcrank_core/src/directory.rs
+++ b/crates/hemlockcrank_core/src/directory.rs
@@ -87,6 +87,15 @@
     pub prefer: Option<Name>,
 }
 
+/// What the present primary began with, to tell which commits of the last term it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Base {
+    /// Term of the primary before.
+    pub from_term: u64,
+    /// Last log entry of the present primary when it adopted its term.
+    pub last: Position,
+}
+
 /// One database as committed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Database {
@@ -102,6 +111,8 @@
     pub primary: Option<Name>,
     /// Change of primary under way.
     pub promotion: Option<Promotion>,
+    /// What the present primary began with, where it is known.
+    pub base: Option<Base>,
 }
 
 impl Database {
@@ -185,6 +196,7 @@
                 term: 0,
                 primary: None,
                 promotion: None,
+                base: None,
             });
         if !database.admits(announcement) {
             return;
@@ -210,7 +222,13 @@
     }
 
     /// Closes the change of primary of exactly this term.
-    pub(crate) fn finish_promotion(&mut self, name: &str, term: u64, member: &Name) -> bool {
+    pub(crate) fn finish_promotion(
+        &mut self,
+        name: &str,
+        term: u64,
+        member: &Name,
+        last: Option<Position>,
+    ) -> bool {
         let Some(database) = self.databases.get_mut(name) else {
             return false;
         };
@@ -218,6 +236,10 @@
         if !expected || !database.members.contains_key(member) {
             return false;
         }
+        database.base = last.map(|last| Base {
+            from_term: database.term,
+            last,
+        });
         database.term = term;
         database.primary = Some(member.clone());
         database.promotion = None;
--- a/crates/hemlockcrank_core/src/failover/handoff.rs
+++ b/crates/hemlockcrank_core/src/failover/handoff.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Last log entry of the member that was promoted, as of when it adopted the term; `None` before the
+    /// choice.
+    pub fn base(&self) -> Option<Position> {
+        let status = self.adopters.get(self.chosen.as_ref()?)?;
+        Some(status.last)
+    }
+
     /// Takes the answers to the last step and says what comes next.
     ///
     /// Members that did not answer are left out of `answers` and are told again.
--- a/crates/hemlockcrank_core/src/request.rs
+++ b/crates/hemlockcrank_core/src/request.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, IntoStaticStr};
 
-use crate::Name;
+use crate::{Name, directory::Base, session::Position};
 
 /// What is known of a request.
 #[derive(
@@ -54,6 +54,16 @@
     }
 }
 
+/// Whether a commit of the last term is part of the present primary's log.
+///
+/// `write` is where the database put it, `base` what the present primary began with. The answer holds for
+/// good only once a majority holds something of the present primary's own term. `None` when another term
+/// lies between them.
+pub fn survived(write: Position, base: &Base) -> Option<bool> {
+    let adjoining = base.from_term == write.term && base.last.term <= write.term;
+    adjoining.then_some(base.last >= write)
+}
+
 /// Table that holds the markers.
 pub const MARKER_TABLE: &str = "hemlockcrank_marker";
 /// Head of the attempt column of a marker that stands for "never ran".
--- a/crates/hemlockcrank_core/src/state.rs
+++ b/crates/hemlockcrank_core/src/state.rs
@@ -10,6 +10,7 @@
     membership::{Host, View},
     placement::{Place, Placements},
     record::{Change, Outcome, Store},
+    session::Position,
 };
 
 /// One change of the control state.
@@ -43,6 +44,8 @@
         term: u64,
         /// New primary.
         member: Name,
+        /// Its last log entry when it adopted the term, where the executor knows it.
+        last: Option<Position>,
     },
     /// A workspace finds its database.
     Place {
@@ -114,8 +117,9 @@
                 database,
                 term,
                 member,
+                last,
             } => changed(
-                Arc::make_mut(&mut self.directory).finish_promotion(database, *term, member),
+                Arc::make_mut(&mut self.directory).finish_promotion(database, *term, member, *last),
             ),
             Command::Place { place, database } => {
                 Arc::make_mut(&mut self.placements).commit(place, database);
--- a/crates/hemlockcrank_core/tests/failover/panel.rs
+++ b/crates/hemlockcrank_core/tests/failover/panel.rs
@@ -22,6 +22,7 @@
         term: 4,
         primary: Some("m1".into()),
         promotion: None,
+        base: None,
     }
 }
 
