--- a/crates/hemlockcrank/src/caller.rs
+++ b/crates/hemlockcrank/src/caller.rs
@@ -12,6 +12,7 @@
 //! *not run*, *ran* and *unknown* apart.
 
 mod admission;
+mod claim;
 mod failure;
 mod greeting;
 mod own;
--- a/crates/hemlockcrank/src/caller/transaction.rs
+++ b/crates/hemlockcrank/src/caller/transaction.rs
@@ -11,11 +11,12 @@
 use pgwire::messages::response::TransactionStatus;
 
 use super::{
+    claim::Claim,
     failure::Failure,
     relay::{Collected, IDLE, RelayError},
     session::{Ended, Session},
     unit::Unit,
-    write::{Claim, Held},
+    write::Held,
 };
 use crate::{
     pg::PgError,
--- a/crates/hemlockcrank/src/caller/write.rs
+++ b/crates/hemlockcrank/src/caller/write.rs
@@ -8,11 +8,12 @@
 use hemlockcrank_core::{
     Name,
     directory::Role,
-    request::{Found, Marker, Outcome, Stage, judge, survived},
+    request::{Marker, Outcome, Stage, judge, survived},
     session::{Position, Watermark},
 };
 
 use super::{
+    claim::{Claim, ClaimError, open_claim, void, write_claim},
     failure::Failure,
     relay::{Collected, IDLE, RelayError},
     session::{Ended, Session},
@@ -23,27 +24,18 @@
     control::World,
     event::{Event, Timeline},
     pg::PgError,
-    upstream::{Connection, ConnectionError, Turn, Upstream},
+    upstream::{Turn, Upstream},
 };
 
 /// SQLSTATE of a member that is no primary; the statement had no effect.
-const READ_ONLY: &str = "25006";
+pub(crate) const READ_ONLY: &str = "25006";
 /// SQLSTATE of a duplicate key.
-const DUPLICATE: &str = "23505";
-/// SQLSTATE of a table that does not exist.
-const NO_TABLE: &str = "42P01";
+pub(crate) const DUPLICATE: &str = "23505";
 /// Pause before a primary that failed is tried again.
 const TRY_AGAIN: Duration = Duration::from_millis(20);
 /// Tries of a write that was proved not to have run.
 const MAX_TRIES: u32 = 5;
 
-/// The marker of an attempt, with the request that it belongs to.
-#[derive(Clone, Debug)]
-pub(crate) struct Claim {
-    pub(crate) request: String,
-    pub(crate) marker: Marker,
-}
-
 /// Whether a commit is known to be held by a majority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Held {
@@ -456,92 +448,3 @@
         [("request", &request), ("outcome", &outcome)];
     timeline.emit(Event::OutcomeResolved, &fields);
 }
-
-/// Why a claim was not written.
-enum ClaimError {
-    /// The request has run before.
-    Ran,
-    /// The member is no primary any more.
-    NotPrimary,
-    /// The connection or the transaction is lost.
-    Lost,
-}
-
-impl From<ConnectionError> for ClaimError {
-    fn from(_: ConnectionError) -> Self {
-        Self::Lost
-    }
-}
-
-/// Opens a transaction and writes the claim into it; makes the table where there is none.
-async fn open_claim(connection: &mut Connection, claim: &Claim) -> Result<(), ClaimError> {
-    connection.query("BEGIN").await?;
-    let first = write_claim(connection, claim).await;
-    if !matches!(first, Err(ClaimError::Lost)) {
-        return first;
-    }
-    connection.query("ROLLBACK").await?;
-    let made = connection.query(&Marker::create_table()).await?;
-    if made.failed_with(READ_ONLY) {
-        return Err(ClaimError::NotPrimary);
-    }
-    connection.query("BEGIN").await?;
-    write_claim(connection, claim).await
-}
-
-async fn write_claim(connection: &mut Connection, claim: &Claim) -> Result<(), ClaimError> {
-    let found = connection.query(&claim.marker.find()).await?;
-    if found.error.is_some() {
-        return Err(ClaimError::Lost);
-    }
-    let column = found.rows.first().and_then(|row| row.first()?.as_deref());
-    match column.map(Marker::read) {
-        Some(Found::Ran) => {
-            connection.query("ROLLBACK").await?;
-            return Err(ClaimError::Ran);
-        }
-        Some(Found::Void { attempt }) => {
-            connection.query(&claim.marker.replace(&attempt)).await?;
-        }
-        None => {}
-    }
-    let claimed = connection.query(&claim.marker.claim()).await?;
-    if claimed.failed_with(READ_ONLY) {
-        return Err(ClaimError::NotPrimary);
-    }
-    if claimed.error.is_some() {
-        return Err(ClaimError::Lost);
-    }
-    Ok(())
-}
-
-/// Voids an attempt; `None` when it has to be asked again.
-async fn void(
-    connection: &mut Connection,
-    marker: &Marker,
-) -> Result<Option<Outcome>, ConnectionError> {
-    let voided = connection.query(&marker.void()).await?;
-    if voided.error.is_none() {
-        return Ok(Some(Outcome::NotRun));
-    }
-    if voided.failed_with(NO_TABLE) {
-        connection.query(&Marker::create_table()).await?;
-        return Ok(None);
-    }
-    if !voided.failed_with(DUPLICATE) {
-        return Ok(None);
-    }
-    let found = connection.query(&marker.find()).await?;
-    let column = found.rows.first().and_then(|row| row.first()?.as_deref());
-    match column.map(Marker::read) {
-        Some(Found::Ran) => Ok(Some(Outcome::Ran)),
-        Some(Found::Void { attempt }) if attempt == marker.own_void() => Ok(Some(Outcome::NotRun)),
-        Some(Found::Void { attempt }) => {
-            for text in ["BEGIN", &marker.replace(&attempt), &marker.void(), "COMMIT"] {
-                connection.query(text).await?;
-            }
-            Ok(None)
-        }
-        None => Ok(None),
-    }
-}
--- a/crates/hemlockcrank/src/control/actor.rs
+++ b/crates/hemlockcrank/src/control/actor.rs
@@ -1,19 +1,18 @@
 //! The control actor: messages, and the order in which a turn does its work.
 
+mod events;
+mod serve;
+
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use hemlockcrank_core::{
     Name,
-    consensus::{Envelope, Id, Input, Role},
+    consensus::{Envelope, Input, Role},
     failover::Report,
-    lease,
     membership::Host,
-    record::Outcome,
     state::{Command, Reply, State},
 };
-use hemlockcrank_wire::{
-    Follow, Formation, News, Progress, ProposeReply, Request, Response, Update,
-};
+use hemlockcrank_wire::{Follow, Formation, News, ProposeReply, Request, Response, Update};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use rand_chacha::{
     ChaCha8Rng,
@@ -493,96 +492,6 @@
         Ok(())
     }
 
-    fn formation(&self) -> Formation {
-        match &self.group {
-            None => Formation::NoDisk,
-            Some(group) => match group.node() {
-                None => Formation::Fresh(group.id().clone()),
-                Some(node) => Formation::Formed {
-                    config: node.log().config().clone(),
-                },
-            },
-        }
-    }
-
-    fn followed(
-        &mut self,
-        follow: Follow,
-        port: RpcReplyPort<Response>,
-    ) -> Result<(), JournalError> {
-        let now = now_ms();
-        let Some(duties) = &mut self.duties else {
-            reply(port, Response::News(self.redirect()));
-            return Ok(());
-        };
-        let command = duties.heard(now, &self.state, &follow.host, follow.applied);
-        duties.reports(now, &follow.host.name, follow.reports.clone());
-        if let Some(command) = command {
-            self.propose(&command, None)?;
-        }
-        self.held.push(Held {
-            until: now + lease::RENEW_MS,
-            follow,
-            port,
-        });
-        Ok(())
-    }
-
-    fn redirect(&self) -> News {
-        let node = self.group.as_ref().and_then(Group::node);
-        let known = node.and_then(|node| node.leader());
-        let leader = known.map(|id| id.host.clone());
-        let leader = leader.or_else(|| self.following.leader().cloned());
-        let address = leader.as_ref().and_then(|name| self.address_of(name));
-        News::NotLeader { leader, address }
-    }
-
-    /// Answers held questions that have news or have waited long enough.
-    fn answer_held(&mut self) {
-        let now = now_ms();
-        let leads = self.leads(now);
-        let still = std::mem::take(&mut self.held);
-        for held in still {
-            let listed = self.state.view.get(&held.follow.host.name) == Some(&held.follow.host);
-            let due = held.follow.applied < self.state.index || now >= held.until;
-            if self.duties.is_none() || (now >= held.until && !(leads && listed)) {
-                reply(held.port, Response::News(self.redirect()));
-            } else if leads && listed && due {
-                let news = self.updates_after(held.follow.applied);
-                reply(held.port, Response::News(news));
-            } else {
-                self.held.push(held);
-            }
-        }
-    }
-
-    fn updates_after(&self, applied: u64) -> News {
-        let remaining_ms = lease::TERM_MS;
-        let index = self.state.index;
-        let reaches_back = self
-            .recent
-            .front()
-            .is_some_and(|first| first.index <= applied + 1);
-        let newer = || {
-            let all = self.recent.iter();
-            all.skip_while(|update| update.index <= applied)
-                .cloned()
-                .collect()
-        };
-        let entries = (applied >= index || reaches_back).then(newer);
-        match entries {
-            Some(updates) => News::Updates {
-                updates,
-                index,
-                remaining_ms,
-            },
-            None => News::State {
-                state: Box::new(self.state.clone()),
-                remaining_ms,
-            },
-        }
-    }
-
     // ---------------------------------------------------------------------------------------------
     // State
 
@@ -630,74 +539,6 @@
         outcome
     }
 
-    fn log_command(&self, index: u64, command: &Command, outcome: &Reply) {
-        let log = &self.timeline;
-        match (command, outcome) {
-            (Command::Change(change), Reply::Change(Outcome::Accepted { revision, .. })) => {
-                let (kind, name) = (&change.id.kind, &change.id.name);
-                let fields: [(&str, &dyn std::fmt::Display); 4] = [
-                    ("kind", kind),
-                    ("name", name),
-                    ("revision", revision),
-                    ("index", &index),
-                ];
-                log.emit(Event::ChangeAccepted, &fields);
-            }
-            (Command::Change(change), Reply::Change(Outcome::Refused { error, .. })) => {
-                let (kind, name) = (&change.id.kind, &change.id.name);
-                let fields: [(&str, &dyn std::fmt::Display); 3] =
-                    [("kind", kind), ("name", name), ("error", error)];
-                log.emit(Event::ChangeRefused, &fields);
-            }
-            (Command::HostUp(host), Reply::Done) => {
-                log.emit(Event::HostUp, &[("peer", &host.name), ("index", &index)]);
-            }
-            (Command::HostDown { name, .. }, Reply::Done) => {
-                log.emit(Event::HostDown, &[("peer", name), ("index", &index)]);
-            }
-            (Command::Announce(announcement), _) => {
-                let fields: [(&str, &dyn std::fmt::Display); 2] = [
-                    ("database", &announcement.database),
-                    ("member", &announcement.member),
-                ];
-                log.emit(Event::MemberAnnounced, &fields);
-            }
-            (
-                Command::BeginPromotion {
-                    database,
-                    promotion,
-                },
-                Reply::Done,
-            ) => {
-                let fields: [(&str, &dyn std::fmt::Display); 3] = [
-                    ("database", database),
-                    ("term", &promotion.term),
-                    ("executor", &promotion.executor),
-                ];
-                log.emit(Event::PromotionBegun, &fields);
-            }
-            (
-                Command::FinishPromotion {
-                    database,
-                    term,
-                    member,
-                    ..
-                },
-                Reply::Done,
-            ) => {
-                let fields: [(&str, &dyn std::fmt::Display); 3] =
-                    [("database", database), ("term", term), ("member", member)];
-                log.emit(Event::PromotionDone, &fields);
-            }
-            (Command::Place { place, database }, _) => {
-                let fields: [(&str, &dyn std::fmt::Display); 2] =
-                    [("workspace", &place.workspace), ("database", database)];
-                log.emit(Event::Placed, &fields);
-            }
-            _ => {}
-        }
-    }
-
     fn publish(&mut self) {
         let lease = self.following.lease();
         let key = (self.state.index, lease.until(), self.draining);
@@ -727,44 +568,6 @@
         }
     }
 
-    fn status(&self) -> Status {
-        let node = self.group.as_ref().and_then(Group::node);
-        let own: Option<&Id> = node.map(hemlockcrank_core::consensus::Node::id);
-        let role: Name = match (&self.group, node) {
-            (None, _) => "none".into(),
-            (Some(_), None) => "fresh".into(),
-            (_, Some(node)) if own.is_some_and(|id| node.log().config().learners.contains(id)) => {
-                "learner".into()
-            }
-            (_, Some(node)) if !node.log().config().contains(node.id()) => "joining".into(),
-            (_, Some(node)) => node.role().to_string().into(),
-        };
-        let known = node
-            .and_then(|node| node.leader())
-            .map(|id| id.host.clone());
-        let voters = node.map_or_else(Vec::new, |node| {
-            let voters = node.log().config().voters.iter();
-            voters.map(|id| id.host.clone()).collect()
-        });
-        Status {
-            host: self.host.name.clone(),
-            role,
-            term: node.map_or(0, hemlockcrank_core::consensus::Node::term),
-            leader: known.or_else(|| self.following.leader().cloned()),
-            voters,
-            applied: self.state.index,
-            lease_ms: self.following.lease().remaining(now_ms()),
-            hosts: self.progress(),
-        }
-    }
-
-    fn progress(&self) -> Vec<Progress> {
-        match &self.duties {
-            Some(duties) => duties.progress(&self.state),
-            None => Duties::default().progress(&self.state),
-        }
-    }
-
     // ---------------------------------------------------------------------------------------------
     // Sending
 
--- /dev/null
+++ b/crates/hemlockcrank/src/control/actor/events.rs
@@ -0,0 +1,79 @@
+//! Committed commands as events.
+
+use hemlockcrank_core::{
+    record::Outcome,
+    state::{Command, Reply},
+};
+
+use super::Control;
+use crate::event::Event;
+
+impl Control {
+    pub(super) fn log_command(&self, index: u64, command: &Command, outcome: &Reply) {
+        let log = &self.timeline;
+        match (command, outcome) {
+            (Command::Change(change), Reply::Change(Outcome::Accepted { revision, .. })) => {
+                let (kind, name) = (&change.id.kind, &change.id.name);
+                let fields: [(&str, &dyn std::fmt::Display); 4] = [
+                    ("kind", kind),
+                    ("name", name),
+                    ("revision", revision),
+                    ("index", &index),
+                ];
+                log.emit(Event::ChangeAccepted, &fields);
+            }
+            (Command::Change(change), Reply::Change(Outcome::Refused { error, .. })) => {
+                let (kind, name) = (&change.id.kind, &change.id.name);
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("kind", kind), ("name", name), ("error", error)];
+                log.emit(Event::ChangeRefused, &fields);
+            }
+            (Command::HostUp(host), Reply::Done) => {
+                log.emit(Event::HostUp, &[("peer", &host.name), ("index", &index)]);
+            }
+            (Command::HostDown { name, .. }, Reply::Done) => {
+                log.emit(Event::HostDown, &[("peer", name), ("index", &index)]);
+            }
+            (Command::Announce(announcement), _) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] = [
+                    ("database", &announcement.database),
+                    ("member", &announcement.member),
+                ];
+                log.emit(Event::MemberAnnounced, &fields);
+            }
+            (
+                Command::BeginPromotion {
+                    database,
+                    promotion,
+                },
+                Reply::Done,
+            ) => {
+                let fields: [(&str, &dyn std::fmt::Display); 3] = [
+                    ("database", database),
+                    ("term", &promotion.term),
+                    ("executor", &promotion.executor),
+                ];
+                log.emit(Event::PromotionBegun, &fields);
+            }
+            (
+                Command::FinishPromotion {
+                    database,
+                    term,
+                    member,
+                    ..
+                },
+                Reply::Done,
+            ) => {
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("database", database), ("term", term), ("member", member)];
+                log.emit(Event::PromotionDone, &fields);
+            }
+            (Command::Place { place, database }, _) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("workspace", &place.workspace), ("database", database)];
+                log.emit(Event::Placed, &fields);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/hemlockcrank_core/src/consensus/node.rs
+++ b/crates/hemlockcrank_core/src/consensus/node.rs
@@ -1,5 +1,8 @@
 //! One member of the voting group.
 
+mod election;
+mod replication;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
@@ -313,77 +316,6 @@
         self.election_at = now + self.timing.election_min_ms + spread;
     }
 
-    // ---------------------------------------------------------------------------------------------
-    // Elections
-
-    fn campaign(&mut self, now: u64, pre: bool) {
-        if !self.log.config().voters.contains(&self.id) {
-            return;
-        }
-        self.leader = None;
-        self.votes = BTreeSet::from([self.id.clone()]);
-        let term = self.term + 1;
-        if pre {
-            self.role = Role::PreCandidate;
-        } else {
-            self.role = Role::Candidate;
-            self.set_vote(term, Some(self.id.clone()));
-        }
-        let message = Message::Vote {
-            term,
-            pre,
-            last_index: self.log.last_index(),
-            last_term: self.log.last_term(),
-        };
-        self.send_to_voters(&message);
-        self.count_votes(now);
-    }
-
-    fn count_votes(&mut self, now: u64) {
-        let voters = &self.log.config().voters;
-        let given = self.votes.iter().filter(|id| voters.contains(*id)).count();
-        if given < self.log.config().quorum() {
-            return;
-        }
-        match self.role {
-            Role::PreCandidate => self.campaign(now, false),
-            Role::Candidate => self.become_leader(now),
-            Role::Follower | Role::Leader => {}
-        }
-    }
-
-    fn become_leader(&mut self, now: u64) {
-        self.role = Role::Leader;
-        self.leader = Some(self.id.clone());
-        self.progress.clear();
-        self.refresh_progress(now);
-        self.append_own(now, Payload::Noop);
-    }
-
-    fn become_follower(&mut self, now: u64, term: u64, leader: Option<Id>) {
-        if term > self.term {
-            self.set_vote(term, None);
-        }
-        self.role = Role::Follower;
-        self.leader = leader;
-        self.votes.clear();
-        self.progress.clear();
-        let spread = self.timing.election_spread_ms / 2;
-        self.election_at = now + self.timing.election_min_ms + spread;
-    }
-
-    fn set_vote(&mut self, term: u64, vote: Option<Id>) {
-        self.term = term;
-        self.vote.clone_from(&vote);
-        self.outputs
-            .push(Output::Persist(Persist::Vote { term, vote }));
-    }
-
-    fn hears_leader(&self, now: u64) -> bool {
-        let recent = now < self.heard_at + self.timing.election_min_ms;
-        recent && (self.leader.is_some() || self.role == Role::Follower)
-    }
-
     // ---------------------------------------------------------------------------------------------
     // Messages
 
@@ -438,209 +370,6 @@
         }
     }
 
-    fn on_vote(&mut self, now: u64, from: Id, term: u64, pre: bool, last: (u64, u64)) {
-        let current = (self.log.last_term(), self.log.last_index());
-        let sticky = self.hears_leader(now) || self.role == Role::Leader;
-        if !pre && !sticky && term > self.term {
-            self.become_follower(now, term, None);
-        }
-        let free = match &self.vote {
-            Some(vote) => term > self.term || (term == self.term && *vote == from),
-            None => term >= self.term,
-        };
-        let granted = !sticky && free && last >= current && (pre || term == self.term);
-        if granted && !pre {
-            if self.vote.is_none() {
-                self.set_vote(term, Some(from.clone()));
-            }
-            self.election_at = now + self.timing.election_min_ms + self.timing.election_spread_ms;
-        }
-        let term = if granted { term } else { self.term };
-        self.send(from, Message::VoteReply { term, pre, granted });
-    }
-
-    fn on_vote_reply(&mut self, now: u64, from: Id, term: u64, pre: bool, granted: bool) {
-        let expected = match self.role {
-            Role::PreCandidate => pre && term == self.term + 1,
-            Role::Candidate => !pre && term == self.term,
-            Role::Follower | Role::Leader => false,
-        };
-        if granted && expected {
-            self.votes.insert(from);
-            self.count_votes(now);
-        } else if !granted && term > self.term {
-            self.become_follower(now, term, None);
-        }
-    }
-
-    /// Follows the sender unless its term is old; a refusal tells it the newer term.
-    fn accept_leader(&mut self, now: u64, from: &Id, term: u64, sent_at: u64) -> bool {
-        if term < self.term {
-            self.reply_append(from.clone(), false, 0, sent_at);
-            return false;
-        }
-        assert!(
-            !(term == self.term && self.role == Role::Leader),
-            "two leaders in term {term}: {} and {from}",
-            self.id
-        );
-        self.become_follower(now, term, Some(from.clone()));
-        self.heard_at = now;
-        true
-    }
-
-    /// Stores entries that follow a known one; returns success and the index to report.
-    fn store(&mut self, prev_index: u64, prev_term: u64, entries: Vec<Entry>) -> (bool, u64) {
-        if prev_index > self.log.last_index() {
-            return (false, self.log.last_index() + 1);
-        }
-        if prev_index > self.log.snapshot().index && self.log.term_at(prev_index) != Some(prev_term)
-        {
-            return (false, prev_index);
-        }
-        let reported = entries.last().map_or(prev_index, |e| e.index);
-        let fresh: Vec<Entry> = entries
-            .into_iter()
-            .skip_while(|e| {
-                e.index <= self.log.snapshot().index || self.log.term_at(e.index) == Some(e.term)
-            })
-            .collect();
-        if let Some(first) = fresh.first() {
-            assert!(
-                first.index > self.commit,
-                "committed entry {} would be replaced on {}",
-                first.index,
-                self.id
-            );
-            self.log.truncate(first.index);
-            self.outputs
-                .push(Output::Persist(Persist::Entries(fresh.clone())));
-            for entry in fresh {
-                self.log.append(entry);
-            }
-        }
-        (true, reported)
-    }
-
-    fn install(&mut self, snapshot: Snapshot) {
-        if snapshot.index <= self.commit {
-            return;
-        }
-        self.commit = snapshot.index;
-        self.applied = snapshot.index;
-        self.log.install(snapshot.clone());
-        self.outputs
-            .push(Output::Persist(Persist::Snapshot(snapshot.clone())));
-        self.outputs.push(Output::Restore(snapshot));
-    }
-
-    fn on_append_reply(
-        &mut self,
-        now: u64,
-        from: &Id,
-        term: u64,
-        success: bool,
-        index: u64,
-        sent_at: u64,
-    ) {
-        if term > self.term {
-            self.become_follower(now, term, None);
-            return;
-        }
-        if self.role != Role::Leader || term < self.term {
-            return;
-        }
-        let Some(progress) = self.progress.get_mut(from) else {
-            return;
-        };
-        progress.heard_at = now;
-        progress.acked_at = progress.acked_at.max(Some(sent_at));
-        if success {
-            progress.matched = progress.matched.max(index);
-            progress.next = progress.next.max(progress.matched + 1);
-            let behind = progress.next <= self.log.last_index();
-            let before = self.commit;
-            self.advance_commit();
-            if behind || self.commit > before {
-                self.send_append(now, from.clone());
-            }
-        } else {
-            let lowest = progress.matched + 1;
-            let is_late = index < lowest;
-            progress.next = index.clamp(lowest, (progress.next - 1).max(lowest));
-            if !is_late {
-                self.send_append(now, from.clone());
-            }
-        }
-    }
-
-    // ---------------------------------------------------------------------------------------------
-    // Replication
-
-    pub(super) fn append_own(&mut self, now: u64, payload: Payload) -> u64 {
-        let entry = Entry {
-            index: self.log.last_index() + 1,
-            term: self.term,
-            payload,
-        };
-        let index = entry.index;
-        self.outputs
-            .push(Output::Persist(Persist::Entries(vec![entry.clone()])));
-        self.log.append(entry);
-        self.refresh_progress(now);
-        self.broadcast(now);
-        self.advance_commit();
-        index
-    }
-
-    fn broadcast(&mut self, now: u64) {
-        self.heartbeat_at = now + self.timing.heartbeat_ms;
-        let others: Vec<Id> = self.progress.keys().cloned().collect();
-        for id in others {
-            self.send_append(now, id);
-        }
-    }
-
-    fn send_append(&mut self, now: u64, to: Id) {
-        let Some(progress) = self.progress.get_mut(&to) else {
-            return;
-        };
-        let prev_index = progress.next - 1;
-        let Some(prev_term) = self.log.term_at(prev_index) else {
-            let snapshot = self.log.snapshot().clone();
-            progress.next = snapshot.index + 1;
-            let message = Message::Install {
-                term: self.term,
-                snapshot,
-                sent_at: now,
-            };
-            self.send(to, message);
-            return;
-        };
-        let entries = self.log.range(prev_index + 1, self.timing.batch);
-        let message = Message::Append {
-            term: self.term,
-            prev_index,
-            prev_term,
-            entries,
-            commit: self.commit,
-            sent_at: now,
-        };
-        self.send(to, message);
-    }
-
-    /// Commits the highest index of the current term that a quorum stores.
-    fn advance_commit(&mut self) {
-        let mut matched = self.voter_values(self.log.last_index(), |p| p.matched);
-        matched.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(index) = matched.get(self.log.config().quorum() - 1).copied() else {
-            return;
-        };
-        if index > self.commit && self.log.term_at(index) == Some(self.term) {
-            self.commit = index;
-        }
-    }
-
     /// One value for each voter: `own` for this node, `read` of the progress for the others.
     fn voter_values<F>(&self, own: u64, read: F) -> Vec<u64>
     where
@@ -656,16 +385,6 @@
             .collect()
     }
 
-    fn refresh_progress(&mut self, now: u64) {
-        let config = self.log.config();
-        self.progress.retain(|id, _| config.contains(id));
-        for id in config.members().filter(|id| **id != self.id) {
-            self.progress
-                .entry(id.clone())
-                .or_insert_with(|| Progress::new(now, self.log.last_index()));
-        }
-    }
-
     fn apply_committed(&mut self) {
         while self.applied < self.commit {
             let Some(entry) = self.log.get(self.applied + 1).cloned() else {
@@ -676,42 +395,6 @@
         }
     }
 
-    fn compact(&mut self, index: u64, data: Data) {
-        let Some(term) = self.log.term_at(index) else {
-            return;
-        };
-        if index > self.applied || index <= self.log.snapshot().index {
-            return;
-        }
-        let snapshot = Snapshot {
-            index,
-            term,
-            config: self.log.config_at(index),
-            data,
-        };
-        self.log.install(snapshot.clone());
-        self.outputs
-            .push(Output::Persist(Persist::Snapshot(snapshot)));
-    }
-
-    fn reply_append(&mut self, to: Id, success: bool, index: u64, sent_at: u64) {
-        let message = Message::AppendReply {
-            term: self.term,
-            success,
-            index,
-            sent_at,
-        };
-        self.send(to, message);
-    }
-
-    fn send_to_voters(&mut self, message: &Message) {
-        let mut others = self.log.config().voters.clone();
-        others.remove(&self.id);
-        for id in others {
-            self.send(id, message.clone());
-        }
-    }
-
     fn send(&mut self, to: Id, message: Message) {
         let envelope = Envelope {
             from: self.id.clone(),
--- a/crates/hemlockcrank_standin/src/server.rs
+++ b/crates/hemlockcrank_standin/src/server.rs
@@ -1,5 +1,7 @@
 //! The PostgreSQL face of one member.
 
+mod extended;
+
 use std::{
     collections::HashMap,
     net::IpAddr,
@@ -12,8 +14,8 @@
 use hemlockcrank_core::directory::Role;
 use pgwire::messages::{
     PgWireFrontendMessage,
-    data::{DataRow, FieldDescription, NoData, ParameterDescription, RowDescription},
-    extendedquery::{Bind, BindComplete, CloseComplete, ParseComplete},
+    data::{DataRow, FieldDescription, RowDescription},
+    extendedquery::Bind,
     response::{CommandComplete, EmptyQueryResponse, ReadyForQuery, TransactionStatus},
     startup::{Authentication, BackendKeyData, ParameterStatus, PasswordMessageFamily, SecretKey},
 };
@@ -475,124 +477,6 @@
         ])
     }
 
-    // ---------------------------------------------------------------------------------------------
-    // Extended query
-
-    async fn extended(&mut self, message: PgWireFrontendMessage) -> Result<bool, SqlError> {
-        let broken = |error: PgError| SqlError::new("08P01", error.to_string());
-        match message {
-            PgWireFrontendMessage::Parse(parse) => {
-                engine::parse(&parse.query)?;
-                let name = parse.name.unwrap_or_default();
-                if !name.is_empty() && self.prepared.contains_key(&name) {
-                    return Err(SqlError::new("42P05", format!("statement {name} exists")));
-                }
-                self.prepared.insert(name, parse.query);
-                self.stream.queue(&ParseComplete::new()).map_err(broken)?;
-            }
-            PgWireFrontendMessage::Bind(bind) => {
-                let text = self.prepared(bind.statement_name.as_deref().unwrap_or(""))?;
-                let params = parameters(&bind)?;
-                let portal = bind.portal_name.unwrap_or_default();
-                let formats = bind.result_column_format_codes;
-                self.portals.insert(portal, (text, params, formats));
-                self.stream.queue(&BindComplete::new()).map_err(broken)?;
-            }
-            PgWireFrontendMessage::Describe(describe) => {
-                self.describe(describe.target_type, describe.name.as_deref().unwrap_or(""))?;
-            }
-            PgWireFrontendMessage::Execute(execute) => {
-                let portal = execute.name.unwrap_or_default();
-                let Some((text, params, formats)) = self.portals.get(&portal).cloned() else {
-                    return Err(SqlError::new("34000", format!("no portal {portal}")));
-                };
-                if !self.strike(&text, Point::BeforeRun).await {
-                    return Ok(false);
-                }
-                let rows = self.run_portal(&text, &params).await?;
-                if !self.strike(&text, Point::AfterRun).await {
-                    return Ok(false);
-                }
-                if let Some(fault) = self.member.take_fault(&text, Point::MidAnswer) {
-                    self.flush().await.map_err(broken)?;
-                    if !self.act(fault.action).await {
-                        return Ok(false);
-                    }
-                }
-                self.rows(&rows, &formats).map_err(broken)?;
-            }
-            PgWireFrontendMessage::Close(close) => {
-                let name = close.name.unwrap_or_default();
-                if close.target_type == b'S' {
-                    self.prepared.remove(&name);
-                } else {
-                    self.portals.remove(&name);
-                }
-                self.stream.queue(&CloseComplete::new()).map_err(broken)?;
-            }
-            _ => return Err(SqlError::new("0A000", "message is not known here")),
-        }
-        Ok(true)
-    }
-
-    fn prepared(&self, name: &str) -> Result<String, SqlError> {
-        let found = self.prepared.get(name).cloned();
-        found.ok_or_else(|| SqlError::new("26000", format!("no statement {name}")))
-    }
-
-    async fn run_portal(&mut self, text: &str, params: &[Cell]) -> Result<Rows, SqlError> {
-        if let Some(rows) = self.builtin(text)? {
-            return Ok(rows);
-        }
-        match engine::parse(text)?.pop() {
-            Some(statement) => self.statement(text, statement, params).await,
-            None => Ok(Rows::default()),
-        }
-    }
-
-    /// Describes by a dry run with empty parameters on a copy of the tables.
-    fn describe(&mut self, target: u8, name: &str) -> Result<(), SqlError> {
-        let broken = |error: PgError| SqlError::new("08P01", error.to_string());
-        let (text, params, formats) = if target == b'S' {
-            let text = self.prepared(name)?;
-            let count = (1..)
-                .take_while(|n| text.contains(&format!("${n}")))
-                .count();
-            let types = ParameterDescription::new(vec![OID_TEXT; count]);
-            self.stream.queue(&types).map_err(broken)?;
-            (text, vec![Some(String::new()); count], Vec::new())
-        } else {
-            let found = self.portals.get(name).cloned();
-            found.ok_or_else(|| SqlError::new("34000", format!("no portal {name}")))?
-        };
-        let columns = match self.builtin_columns(&text) {
-            Some(columns) => columns,
-            None => self.dry_run(&text, &params)?,
-        };
-        if columns.is_empty() {
-            self.stream.queue(&NoData::new()).map_err(broken)
-        } else {
-            let message = describe(&columns, &formats);
-            self.stream.queue(&message).map_err(broken)
-        }
-    }
-
-    fn builtin_columns(&self, text: &str) -> Option<Vec<(String, Type)>> {
-        let status = text.contains("FROM hemlockcrank_status");
-        status.then(|| self.status().columns)
-    }
-
-    fn dry_run(&self, text: &str, params: &[Cell]) -> Result<Vec<(String, Type)>, SqlError> {
-        let Some(statement @ Statement::Query(_)) = engine::parse(text)?.pop() else {
-            return Ok(Vec::new());
-        };
-        let mut tables = match &self.transaction {
-            Some(transaction) => transaction.tables.clone(),
-            None => lock(&self.member.state).tables.clone(),
-        };
-        Ok(tables.run(&statement, params)?.columns)
-    }
-
     fn rows(&mut self, rows: &Rows, formats: &[i16]) -> Result<(), PgError> {
         for row in &rows.rows {
             let mut data = BytesMut::new();
