--- a/crates/hemlockcrank/src/caller/write.rs
+++ b/crates/hemlockcrank/src/caller/write.rs
@@ -350,9 +350,15 @@
             let world = self.context.control.world();
             let known = world.state.directory.get(database);
             let base = known.and_then(|database| database.base);
-            let moved = known.is_some_and(|database| database.term > write.term);
-            if moved && let Some(settled) = self.settled_at(&mut turn, &upstream).await {
-                let Some(survived) = base.and_then(|base| survived(write, &base)) else {
+            let term = known.map_or(0, |database| database.term);
+            let settled = if term > write.term {
+                self.settled_at(&mut turn, &upstream).await
+            } else {
+                None
+            };
+            if let Some(settled) = settled.filter(|settled| settled.term == term) {
+                let Some(survived) = base.and_then(|base| survived(write, term, &base, settled))
+                else {
                     break;
                 };
                 outcome = if survived {
--- a/crates/hemlockcrank_core/src/request.rs
+++ b/crates/hemlockcrank_core/src/request.rs
@@ -54,14 +54,15 @@
     }
 }
 
-/// Whether a commit of the last term is part of the present primary's log.
+/// Whether a commit of the last term is part of the present primary's log, for good.
 ///
-/// `write` is where the database put it, `base` what the present primary began with. The answer holds for
-/// good only once a majority holds something of the present primary's own term. `None` when another term
-/// lies between them.
-pub fn survived(write: Position, base: &Base) -> Option<bool> {
+/// `write` is where the database put it, `term` and `base` are the committed primary's, and `settled` is
+/// a position that a majority holds at its own term. `None` while that is not of the same term, because
+/// another change could still bring the old log back, and when another term lies between them.
+pub fn survived(write: Position, term: u64, base: &Base, settled: Position) -> Option<bool> {
+    let is_final = term > write.term && settled.term == term;
     let adjoining = base.from_term == write.term && base.last.term <= write.term;
-    adjoining.then_some(base.last >= write)
+    (is_final && adjoining).then_some(base.last >= write)
 }
 
 /// Table that holds the markers.
--- a/crates/hemlockcrank_core/tests/decisions.rs
+++ b/crates/hemlockcrank_core/tests/decisions.rs
@@ -5,10 +5,11 @@
 use hemlockcrank_core::{
     Name,
     clock::{Hybrid, Stamp},
+    directory::Base,
     lease::Lease,
     membership::{Host, View},
     queue::{Entry, Fair, Refusal},
-    request::{Found, Marker, Outcome, Stage, judge},
+    request::{Found, Marker, Outcome, Stage, judge, survived},
     retry::Budget,
     route::{Candidate, choose},
     session::{Position, Token, floor, is_acknowledged},
@@ -99,6 +100,23 @@
     assert_eq!(judge(stage), expected);
 }
 
+#[rstest]
+#[case(at(2, 7), at(2, 7), at(3, 1), Some(true))]
+#[case(at(2, 8), at(2, 7), at(3, 1), Some(false))]
+#[case(at(2, 8), at(1, 9), at(3, 1), Some(false))]
+#[case(at(2, 7), at(2, 7), at(2, 9), None)]
+#[case(at(2, 7), at(2, 7), at(4, 1), None)]
+#[case(at(1, 7), at(2, 7), at(3, 1), None)]
+fn commits_that_survive(
+    #[case] write: Position,
+    #[case] last: Position,
+    #[case] settled: Position,
+    #[case] expected: Option<bool>,
+) {
+    let base = Base { from_term: 2, last };
+    assert_eq!(survived(write, 3, &base, settled), expected);
+}
+
 #[test]
 fn a_marker_tells_its_own_void_from_others_and_quotes_what_it_is_given() {
     let marker = Marker::new(&"w".into(), "it's", "a1");
--- a/crates/hemlockcrank_core/tests/failover/explore.rs
+++ b/crates/hemlockcrank_core/tests/failover/explore.rs
@@ -220,16 +220,17 @@
         .iter()
         .map(|member| (member.adopted, member.last()))
         .collect();
-    let current = primary.adopted == term && primary.last().term == term;
-    let settled = current && is_acknowledged(MEMBERS, primary.last(), &reports);
     let pending = &state.writes[write];
     if pending.acknowledged || pending.survived.is_some() {
         return None;
     }
-    if !settled && plant != Plant::JudgesEarly {
-        return None;
-    }
-    let survived = survived(pending.position, &base?)?;
+    let own_term = primary.adopted == primary.last().term;
+    let settled = match plant {
+        Plant::JudgesEarly => Position::new(term, 1),
+        _ if own_term && is_acknowledged(MEMBERS, primary.last(), &reports) => primary.last(),
+        _ => return None,
+    };
+    let survived = survived(pending.position, term, &base?, settled)?;
     let mut copy = state.clone();
     copy.writes[write].survived = Some(survived);
     Some(copy)
--- a/crates/hemlockcrank_standin/examples/measure/zone.rs
+++ b/crates/hemlockcrank_standin/examples/measure/zone.rs
@@ -118,10 +118,10 @@
     report
 }
 
-/// Reads that the hosts counted, in all and by primaries.
+/// Reads that the hosts outside the zone counted, in all and by primaries.
 fn counts(site: &Site) -> (u64, u64) {
     let (mut total, mut primary) = (0, 0);
-    for host in 0..6 {
+    for host in 2..6 {
         let Some(daemon) = site.daemon(host) else {
             continue;
         };
