--- a/crates/hemlockcrank/src/caller/relay.rs
+++ b/crates/hemlockcrank/src/caller/relay.rs
@@ -110,20 +110,12 @@
         let mut relayed = false;
         let mut error = None;
         loop {
-            let frame = self
-                .next_answer(turn)
-                .await
-                .map_err(|_| RelayError::Database { relayed })?;
-            if skip > 0 && matches!(frame.tag, tag::PARSE_COMPLETE | tag::CLOSE_COMPLETE) {
-                skip -= 1;
-                continue;
-            }
+            let frame = self.next_of_unit(turn, &mut skip, relayed).await?;
             match frame.tag {
                 tag::READY => {
                     let status = frame.body().first().copied().unwrap_or(IDLE);
                     return Ok((status, error));
                 }
-                tag::PARAMETER_STATUS => continue,
                 tag::ERROR_RESPONSE => {
                     error = error_fields(&frame).ok().map(|(sqlstate, _)| sqlstate);
                 }
@@ -148,20 +140,12 @@
         let mut held = 0;
         loop {
             let relayed = collected.relayed;
-            let frame = self
-                .next_answer(turn)
-                .await
-                .map_err(|_| RelayError::Database { relayed })?;
-            if skip > 0 && matches!(frame.tag, tag::PARSE_COMPLETE | tag::CLOSE_COMPLETE) {
-                skip -= 1;
-                continue;
-            }
+            let frame = self.next_of_unit(turn, &mut skip, relayed).await?;
             match frame.tag {
                 tag::READY => {
                     collected.status = frame.body().first().copied().unwrap_or(IDLE);
                     return Ok(collected);
                 }
-                tag::PARAMETER_STATUS => continue,
                 tag::ERROR_RESPONSE => {
                     collected.error = error_fields(&frame).ok().map(|(sqlstate, _)| sqlstate);
                 }
@@ -189,6 +173,25 @@
         }
     }
 
+    /// Next message that belongs to the caller's own unit.
+    async fn next_of_unit(
+        &self,
+        turn: &mut Turn,
+        skip: &mut usize,
+        relayed: bool,
+    ) -> Result<Frame, RelayError> {
+        loop {
+            let answer = self.next_answer(turn).await;
+            let frame = answer.map_err(|_| RelayError::Database { relayed })?;
+            let prepares = matches!(frame.tag, tag::PARSE_COMPLETE | tag::CLOSE_COMPLETE);
+            if *skip > 0 && prepares {
+                *skip -= 1;
+            } else if frame.tag != tag::PARAMETER_STATUS {
+                return Ok(frame);
+            }
+        }
+    }
+
     /// Next message of an answer. A connection that stays silent is examined: its statement may take
     /// long, or something between the two ends may have lost track of it. A primary that another one has
     /// replaced meanwhile is not waited for.
--- a/crates/hemlockcrank_core/tests/consensus/explore.rs
+++ b/crates/hemlockcrank_core/tests/consensus/explore.rs
@@ -1,11 +1,11 @@
 //! Every reachable state of three nodes within bounds, over real node states.
 
-use std::cell::RefCell;
-
 use hemlockcrank_core::consensus::{Input, Timing};
-use pathfinding::directed::bfs::bfs_reach;
 
-use crate::cluster::{Cluster, Plant};
+use crate::{
+    cluster::{Cluster, Plant},
+    reach::walk,
+};
 
 /// How often each kind of step may be taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -81,18 +81,7 @@
         cluster: Cluster::new(&["a", "b", "c"], timeless(), plant),
         left: bounds,
     };
-    let violation = RefCell::new(None);
-    let reach = bfs_reach(start, |state| {
-        if violation.borrow().is_some() {
-            return Vec::new();
-        }
-        successors(state).unwrap_or_else(|found| {
-            *violation.borrow_mut() = Some(found);
-            Vec::new()
-        })
-    });
-    let count = reach.count();
-    (count, violation.into_inner())
+    walk(start, successors)
 }
 
 const BOUNDS: Bounds = Bounds {
--- a/crates/hemlockcrank_core/tests/consensus/lease.rs
+++ b/crates/hemlockcrank_core/tests/consensus/lease.rs
@@ -1,11 +1,11 @@
 //! Leader leases: no two nodes hold one at the same time, explored with discrete time.
 
-use std::cell::RefCell;
-
 use hemlockcrank_core::consensus::{Input, Node, Timing};
-use pathfinding::directed::bfs::bfs_reach;
 
-use crate::cluster::{Cluster, Plant};
+use crate::{
+    cluster::{Cluster, Plant},
+    reach::walk,
+};
 
 /// Length of a step of time.
 const STEP_MS: u64 = 20;
@@ -98,18 +98,7 @@
         restarts: 2,
         depth,
     };
-    let violation = RefCell::new(None);
-    let reach = bfs_reach(start, |state| {
-        if violation.borrow().is_some() {
-            return Vec::new();
-        }
-        successors(state).unwrap_or_else(|found| {
-            *violation.borrow_mut() = Some(found);
-            Vec::new()
-        })
-    });
-    let count = reach.count();
-    (count, violation.into_inner())
+    walk(start, successors)
 }
 
 #[test]
--- a/crates/hemlockcrank_core/tests/consensus/main.rs
+++ b/crates/hemlockcrank_core/tests/consensus/main.rs
@@ -9,4 +9,5 @@
 mod explore;
 mod lease;
 mod random;
+mod reach;
 mod steps;
--- /dev/null
+++ b/crates/hemlockcrank_core/tests/consensus/reach.rs
@@ -0,0 +1,25 @@
+//! Walks every reachable state until one breaks an invariant.
+
+use std::{cell::RefCell, hash::Hash};
+
+use pathfinding::directed::bfs::bfs_reach;
+
+/// Walks all states from `start`; returns their number and the first violation.
+pub(crate) fn walk<S, F>(start: S, successors: F) -> (usize, Option<String>)
+where
+    S: Clone + Eq + Hash,
+    F: Fn(&S) -> Result<Vec<S>, String>,
+{
+    let violation = RefCell::new(None);
+    let reach = bfs_reach(start, |state| {
+        if violation.borrow().is_some() {
+            return Vec::new();
+        }
+        successors(state).unwrap_or_else(|found| {
+            *violation.borrow_mut() = Some(found);
+            Vec::new()
+        })
+    });
+    let count = reach.count();
+    (count, violation.into_inner())
+}
--- a/crates/hemlockcrank_wire/src/server.rs
+++ b/crates/hemlockcrank_wire/src/server.rs
@@ -6,6 +6,7 @@
 use h2::{RecvStream, server::SendResponse};
 use hemlockcrank_core::Name;
 use http::{Request as HttpRequest, Response as HttpResponse, StatusCode};
+use subtle::ConstantTimeEq;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -111,7 +112,8 @@
     if header(VERSION_HEADER) != Some(VERSION.to_string().as_bytes()) {
         return Err(StatusCode::UPGRADE_REQUIRED);
     }
-    if header(PROOF_HEADER) != Some(proof.as_bytes()) {
+    let given = header(PROOF_HEADER).unwrap_or_default();
+    if !bool::from(given.ct_eq(proof.as_bytes())) {
         return Err(StatusCode::FORBIDDEN);
     }
     let bytes = read_body(request.into_body())
