A statement that has waited is checked again just before it is sent

Key, service and lease were checked on arrival only; a save that waited up to 3 s for a primary was sent after its key had been withdrawn and the withdrawal was in force everywhere. Failed first: control::a_save_that_waits_while_its_key_is_withdrawn_is_not_run ended with the connection closed instead of 'not run'; it passes now. Ruled out: refusing waiting statements when a host drains; they were taken in before and finish.

--- a/crates/hemlockcrank/src/caller/admission.rs
+++ b/crates/hemlockcrank/src/caller/admission.rs
@@ -28,12 +28,17 @@
     }
 
     fn check_authority(&self, world: &World, unit: &Unit) -> Result<(), Failure> {
-        if self.key_is_withdrawn(world) {
-            return Err(Failure::key_withdrawn());
-        }
         if self.transaction.is_none() && self.host_leaves(world) {
             return Err(Failure::leaving());
         }
+        self.check_permission(world, unit)
+    }
+
+    /// Checks key, service and lease; once more just before a statement that has waited is sent.
+    pub(crate) fn check_permission(&self, world: &World, unit: &Unit) -> Result<(), Failure> {
+        if self.key_is_withdrawn(world) {
+            return Err(Failure::key_withdrawn());
+        }
         let service = world.state.records.service(&self.who.service);
         let Some(service) = service else {
             return Err(Failure::no_service(&self.who.service));
--- a/crates/hemlockcrank/src/caller/read.rs
+++ b/crates/hemlockcrank/src/caller/read.rs
@@ -83,6 +83,10 @@
                 Ok(turn) => turn,
                 Err(failure) => return Ok(Err(failure)),
             };
+            if let Err(failure) = self.check_permission(&self.context.control.world(), unit) {
+                turn.finish();
+                return Ok(Err(failure));
+            }
             match self.read_on(turn, unit).await? {
                 Attempt::Done => return Ok(Ok(())),
                 Attempt::Failed(failure) => return Ok(Err(failure)),
--- a/crates/hemlockcrank/src/caller/transaction.rs
+++ b/crates/hemlockcrank/src/caller/transaction.rs
@@ -61,6 +61,10 @@
             Ok(held) => held,
             Err(failure) => return Ok(Err(failure)),
         };
+        if let Err(failure) = self.check_permission(&self.context.control.world(), unit) {
+            turn.finish();
+            return Ok(Err(failure));
+        }
         let pinned = unit.class == Class::Pin;
         let sent = self.send_unit(&mut turn.connection, unit).await;
         let collected = match sent {
--- a/crates/hemlockcrank/src/caller/write.rs
+++ b/crates/hemlockcrank/src/caller/write.rs
@@ -70,6 +70,10 @@
                 Ok(held) => held,
                 Err(failure) => return Ok(Err(failure)),
             };
+            if let Err(failure) = self.check_permission(&self.context.control.world(), &unit) {
+                turn.finish();
+                return Ok(Err(failure));
+            }
             let outcome = self.try_write(turn, &upstream, &unit, claim.as_ref());
             match outcome.await? {
                 Try::Answered => return Ok(Ok(())),
--- a/crates/hemlockcrank/tests/site/control.rs
+++ b/crates/hemlockcrank/tests/site/control.rs
@@ -1,5 +1,7 @@
 //! Control state: keys, races, restarts, lost disks, silent hosts.
 
+use std::time::Duration;
+
 use hemlockcrank_core::record::{Action, Kind, StoreError};
 use hemlockctl::ClientError;
 
@@ -41,6 +43,33 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_save_that_waits_while_its_key_is_withdrawn_is_not_run() {
+    let site = site().await;
+    let client = connect(&site, 1).await;
+    let members = site.groups[0].members();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    members.iter().for_each(|member| member.cut(true));
+    let waiting = tokio::spawn(async move { save(&client, "order-1").await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let operator = site.operator(0);
+    let withdrawn = operator
+        .withdraw(Kind::Key, WORKSPACE, 1)
+        .await
+        .expect("withdraw");
+    operator
+        .wait_in_force(withdrawn.index, |_| {})
+        .await
+        .expect("in force");
+    members.iter().for_each(|member| member.cut(false));
+
+    let refused = waiting.await.expect("task").expect_err("withdrawn");
+    assert_eq!(outcome(&refused), "outcome: not run", "{refused:?}");
+    eventually("a primary", async || site.groups[0].primary().is_some()).await;
+    assert_eq!(stored(&site, "order-1"), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_operators_with_one_revision_one_wins_and_a_resend_is_answered_alike() {
     let site = site().await;
