--- a/crates/hemlockcrank/src/control/actor.rs
+++ b/crates/hemlockcrank/src/control/actor.rs
@@ -1,6 +1,8 @@
 //! The control actor: messages, and the order in which a turn does its work.
 
+mod ask;
 mod events;
+mod form;
 mod serve;
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
@@ -23,7 +25,7 @@
 use super::{
     Status, World,
     follow::Following,
-    formation::{Decision, Founding},
+    formation::Founding,
     group::{Group, ReplyPort, Work, command_of, reply, state_of},
     leader::Duties,
 };
@@ -226,67 +228,6 @@
         Ok(())
     }
 
-    /// Asks around while the disk is fresh, and asks to join while the group does not list it.
-    fn form(&mut self, now: u64) -> Result<(), JournalError> {
-        let Some(group) = &mut self.group else {
-            return Ok(());
-        };
-        let Some(node) = group.node() else {
-            if now >= self.form_at {
-                self.form_at = now + FORM_MS;
-                let alone = self.founding.found(group.id(), &self.settings.bootstrap);
-                self.decided(alone)?;
-                self.ask_formation();
-            }
-            return Ok(());
-        };
-        if !node.log().config().contains(node.id()) && now >= self.join_at {
-            self.join_at = now + JOIN_MS;
-            let request = Request::Join(node.id().clone());
-            if let Some(address) = self.leader_address() {
-                self.send(address, request);
-            }
-        }
-        Ok(())
-    }
-
-    fn ask_formation(&self) {
-        for peer in &self.settings.peers {
-            let (peers, myself, peer) = (self.peers.clone(), self.myself.clone(), peer.clone());
-            if !self.settings.bootstrap.contains(&peer.host) {
-                continue;
-            }
-            tokio::spawn(async move {
-                let answer = peers.call(peer.address, &Request::Form, CALL_LIMIT).await;
-                if let Ok(Response::Formation(formation)) = answer {
-                    let _ = myself.cast(Message::Formed(peer.host, formation));
-                }
-            });
-        }
-    }
-
-    fn formed(&mut self, from: &Name, formation: Formation) -> Result<(), JournalError> {
-        let Some(group) = &self.group else {
-            return Ok(());
-        };
-        let (own, bootstrap) = (group.id(), &self.settings.bootstrap);
-        let decision = self.founding.answer(own, bootstrap, from, formation);
-        self.decided(decision)
-    }
-
-    fn decided(&mut self, decision: Decision) -> Result<(), JournalError> {
-        let (Decision::Form(config), Some(group)) = (decision, &mut self.group) else {
-            return Ok(());
-        };
-        if group.node().is_none() {
-            let voters: Vec<String> = config.voters.iter().map(ToString::to_string).collect();
-            group.form(config)?;
-            self.timeline
-                .emit(Event::GroupFormed, &[("voters", &voters.join(","))]);
-        }
-        Ok(())
-    }
-
     // ---------------------------------------------------------------------------------------------
     // Leading
 
@@ -354,91 +295,6 @@
         Ok(())
     }
 
-    // ---------------------------------------------------------------------------------------------
-    // Following
-
-    fn follow(&mut self, now: u64, urgent: bool) {
-        if self.left || self.leads(now) {
-            return;
-        }
-        let candidates = self.candidates();
-        let address = if urgent {
-            self.leader_address()
-        } else {
-            self.following.next(now, &candidates)
-        };
-        let Some(address) = address else {
-            return;
-        };
-        let request = Request::Follow(Follow {
-            host: self.host.clone(),
-            applied: self.state.index,
-            reports: self.reports.clone(),
-        });
-        if urgent {
-            self.send(address, request);
-            return;
-        }
-        let (peers, myself) = (self.peers.clone(), self.myself.clone());
-        tokio::spawn(async move {
-            let news = match peers.call(address, &request, CALL_LIMIT).await {
-                Ok(Response::News(news)) => Some(news),
-                _ => None,
-            };
-            let _ = myself.cast(Message::News {
-                asked_at: now,
-                news,
-            });
-        });
-    }
-
-    /// Peer addresses that may lead: the hosts named in the settings, this one left out.
-    fn candidates(&self) -> Vec<SocketAddr> {
-        let peers = self.settings.peers.iter();
-        peers.map(|peer| peer.address).collect()
-    }
-
-    fn news(&mut self, asked_at: u64, news: Option<News>) {
-        let now = now_ms();
-        match news {
-            None => self.following.failed(now),
-            Some(News::NotLeader { leader, address }) => {
-                let own = leader.as_ref().and_then(|name| self.address_of(name));
-                self.following.redirected(now, leader.zip(own.or(address)));
-            }
-            Some(News::Updates {
-                updates,
-                index,
-                remaining_ms,
-            }) => {
-                for update in &updates {
-                    if update.index == self.state.index + 1 {
-                        self.apply(update.index, update.command.as_ref());
-                    }
-                }
-                self.following.granted(index, asked_at, remaining_ms);
-            }
-            Some(News::State {
-                state,
-                remaining_ms,
-            }) => {
-                let index = state.index;
-                self.replace_state(*state);
-                self.following.granted(index, asked_at, remaining_ms);
-            }
-        }
-        self.following.reached(self.state.index);
-        self.follow(now, false);
-    }
-
-    fn own_reports(&mut self, reports: Vec<Report>) {
-        let urgent = reports.iter().any(|report| report.suspects);
-        self.reports = reports;
-        if urgent {
-            self.follow(now_ms(), true);
-        }
-    }
-
     // ---------------------------------------------------------------------------------------------
     // Calls
 
--- /dev/null
+++ b/crates/hemlockcrank/src/control/actor/ask.rs
@@ -0,0 +1,93 @@
+//! Asking a parent for news, and taking its answer.
+
+use std::net::SocketAddr;
+
+use hemlockcrank_core::failover::Report;
+use hemlockcrank_wire::{Follow, News, Request, Response};
+
+use super::{Control, Message};
+use crate::{clock::now_ms, peers::CALL_LIMIT};
+
+impl Control {
+    pub(super) fn follow(&mut self, now: u64, urgent: bool) {
+        if self.left || self.leads(now) {
+            return;
+        }
+        let candidates = self.candidates();
+        let address = if urgent {
+            self.leader_address()
+        } else {
+            self.following.next(now, &candidates)
+        };
+        let Some(address) = address else {
+            return;
+        };
+        let request = Request::Follow(Follow {
+            host: self.host.clone(),
+            applied: self.state.index,
+            reports: self.reports.clone(),
+        });
+        if urgent {
+            self.send(address, request);
+            return;
+        }
+        let (peers, myself) = (self.peers.clone(), self.myself.clone());
+        tokio::spawn(async move {
+            let news = match peers.call(address, &request, CALL_LIMIT).await {
+                Ok(Response::News(news)) => Some(news),
+                _ => None,
+            };
+            let _ = myself.cast(Message::News {
+                asked_at: now,
+                news,
+            });
+        });
+    }
+
+    /// Peer addresses that may lead: the hosts named in the settings, this one left out.
+    pub(super) fn candidates(&self) -> Vec<SocketAddr> {
+        let peers = self.settings.peers.iter();
+        peers.map(|peer| peer.address).collect()
+    }
+
+    pub(super) fn news(&mut self, asked_at: u64, news: Option<News>) {
+        let now = now_ms();
+        match news {
+            None => self.following.failed(now),
+            Some(News::NotLeader { leader, address }) => {
+                let own = leader.as_ref().and_then(|name| self.address_of(name));
+                self.following.redirected(now, leader.zip(own.or(address)));
+            }
+            Some(News::Updates {
+                updates,
+                index,
+                remaining_ms,
+            }) => {
+                for update in &updates {
+                    if update.index == self.state.index + 1 {
+                        self.apply(update.index, update.command.as_ref());
+                    }
+                }
+                self.following.granted(index, asked_at, remaining_ms);
+            }
+            Some(News::State {
+                state,
+                remaining_ms,
+            }) => {
+                let index = state.index;
+                self.replace_state(*state);
+                self.following.granted(index, asked_at, remaining_ms);
+            }
+        }
+        self.following.reached(self.state.index);
+        self.follow(now, false);
+    }
+
+    pub(super) fn own_reports(&mut self, reports: Vec<Report>) {
+        let urgent = reports.iter().any(|report| report.suspects);
+        self.reports = reports;
+        if urgent {
+            self.follow(now_ms(), true);
+        }
+    }
+}
