--- a/crates/hemlockcrank/src/lib.rs
+++ b/crates/hemlockcrank/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peers;
 pub mod pg;
 pub mod settings;
+mod sync;
 pub mod upstream;
 mod watcher;
 
--- a/crates/hemlockcrank/src/limits.rs
+++ b/crates/hemlockcrank/src/limits.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -29,6 +29,7 @@
     clock::now_ms,
     control::{Control, World},
     peers::Peers,
+    sync::lock,
 };
 use tenure::{Cause, Tenures};
 
@@ -325,7 +326,3 @@
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/hemlockcrank/src/watcher.rs
+++ b/crates/hemlockcrank/src/watcher.rs
@@ -7,7 +7,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -25,6 +25,7 @@
     context::Context,
     control::World,
     event::Event,
+    sync::lock,
     upstream::{Sample, Upstream, Watching},
 };
 
@@ -360,7 +361,3 @@
     let _ = tokio::time::timeout(REST_GRACE, rest).await;
     answers
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
