--- a/crates/hemlockcrank/tests/processes.rs
+++ b/crates/hemlockcrank/tests/processes.rs
@@ -6,8 +6,8 @@
     time::{Duration, Instant},
 };
 
-use hemlockcrank::Settings;
 use hemlockcrank_core::record::Kind;
+use hemlockcrank_host::Settings;
 use hemlockcrank_standin::{
     Group, GroupSettings, OPERATOR_TOKEN, PLATFORM_TOKEN, SiteSettings, fresh_folder, host_settings,
 };
@@ -144,7 +144,7 @@
 }
 
 async fn connect(site: &Site, index: usize) -> tokio_postgres::Client {
-    let address = site.settings[index].listen.caller;
+    let address = site.settings[index].listen.caller.expect("a caller face");
     let url = format!("postgres://khedive:counter-key@{address}/ledger");
     let (client, connection) = tokio_postgres::connect(&url, NoTls).await.expect("connect");
     tokio::spawn(async move {
--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`lease`]: how long a host may act on what it knows.
 //! - [`session`], [`route`], [`request`], [`retry`]: the way of one statement.
 //! - [`failover`]: changes of primary.
+//! - [`catalog`], [`group`], [`succession`], [`floor`]: sites whose configuration comes whole and whose
+//!   databases replicate by themselves.
 //! - [`allotment`], [`queue`]: fair shares.
 //! - [`statement`]: what a statement does, read from its text.
 //!
@@ -23,10 +25,14 @@
 //! ```
 
 pub mod allotment;
+pub mod balance;
+pub mod catalog;
 pub mod clock;
 pub mod consensus;
 pub mod directory;
 pub mod failover;
+pub mod floor;
+pub mod group;
 pub mod lease;
 pub mod membership;
 pub mod placement;
@@ -36,8 +42,10 @@
 pub mod retry;
 pub mod route;
 pub mod session;
+pub mod sight;
 pub mod state;
 pub mod statement;
+pub mod succession;
 
 /// A shared immutable name.
 pub type Name = std::sync::Arc<str>;
--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -41,6 +41,8 @@
     pub peer: SocketAddr,
     /// Where operators reach it.
     pub operator: SocketAddr,
+    /// Where a platform's operators and members reach it, on hosts that serve them.
+    pub control: Option<SocketAddr>,
 }
 
 impl Host {
@@ -52,6 +54,7 @@
             zone: zone.into(),
             peer: NO_ADDRESS,
             operator: NO_ADDRESS,
+            control: None,
         }
     }
 }
--- a/crates/hemlockcrank_core/src/state.rs
+++ b/crates/hemlockcrank_core/src/state.rs
@@ -6,10 +6,12 @@
 
 use crate::{
     Name,
+    catalog::Catalog,
     directory::{Announcement, Directory, Promotion},
+    group::{Edit, Groups},
     membership::{Host, View},
     placement::{Place, Placements},
-    record::{Change, Outcome, Store},
+    record::{Change, Outcome, Rate, Store},
     session::Position,
 };
 
@@ -54,6 +56,10 @@
         /// Database.
         database: Name,
     },
+    /// A whole configuration under its version.
+    Catalog(Arc<Catalog>),
+    /// A change to a group that replicates by itself, or to a zone.
+    Group(Edit),
 }
 
 /// The answer to a command.
@@ -80,9 +86,19 @@
     pub directory: Arc<Directory>,
     /// Workspaces' databases.
     pub placements: Arc<Placements>,
+    /// Newest configuration that was submitted whole.
+    pub catalog: Arc<Catalog>,
+    /// Groups that replicate by themselves.
+    pub groups: Arc<Groups>,
 }
 
 impl State {
+    /// Rate of a workspace, from the configuration that was submitted whole or from its record.
+    pub fn rate(&self, workspace: &str) -> Option<Rate> {
+        let whole = self.catalog.rate(workspace);
+        whole.or_else(|| self.records.rate(workspace))
+    }
+
     /// Applies the entry at `index`; entries already applied are skipped.
     pub fn apply(&mut self, index: u64, command: Option<&Command>) -> Reply {
         if index <= self.index {
@@ -125,6 +141,14 @@
                 Arc::make_mut(&mut self.placements).commit(place, database);
                 Reply::Done
             }
+            Command::Catalog(catalog) => {
+                let newer = catalog.supersedes(&self.catalog);
+                if newer {
+                    self.catalog = Arc::clone(catalog);
+                }
+                changed(newer)
+            }
+            Command::Group(edit) => changed(Arc::make_mut(&mut self.groups).apply(index, edit)),
         }
     }
 }
--- a/crates/hemlockcrank/src/context.rs
+++ b/crates/hemlockcrank_host/src/context.rs
@@ -12,8 +12,8 @@
 use pgwire::messages::startup::SecretKey;
 
 use crate::{
-    control::Control, event::Timeline, limits::Limits, metrics::Metrics, peers::Peers,
-    settings::Settings, upstream::Upstreams,
+    control::Control, engine::Site, event::Timeline, limits::Limits, metrics::Metrics,
+    peers::Peers, settings::Settings, upstream::Upstreams,
 };
 
 /// Where a caller's statement runs now: member address and the key for a cancel request.
@@ -35,7 +35,9 @@
     /// Rates.
     pub limits: Arc<Limits>,
     /// Metrics.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
+    /// Sessions of a platform of its own, on hosts that serve them.
+    pub site: Option<Arc<Site>>,
     /// Number of the next caller session.
     pub(crate) next_session: AtomicU64,
     /// Caller sessions that are open.
--- a/crates/hemlockcrank/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -7,6 +7,7 @@
 //! - `group`: this host's part in the control group, with its journal.
 //! - `formation`: how a disk that knows no group finds or forms one.
 //! - `leader`: duties of the control leader: live hosts, primaries.
+//! - `steward`: changes of primary in groups that replicate by themselves.
 //! - `follow`: asking a parent for news and a lease.
 
 mod actor;
@@ -14,6 +15,7 @@
 mod formation;
 mod group;
 mod leader;
+mod steward;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -34,6 +36,7 @@
 
 use crate::{
     clock::now_ms,
+    engine::Board,
     event::Timeline,
     journal::{Journal, JournalError},
     peers::{CALL_LIMIT, Peers},
@@ -42,6 +45,8 @@
 
 use actor::{Arguments, ControlActor, Message};
 
+pub use steward::{Ask, Overseer, Promote, Promotion, Question};
+
 /// Tries of a command that found no leader, before it is given up.
 const PROPOSE_TRIES: u32 = 20;
 /// Pause between two tries.
@@ -139,6 +144,8 @@
     host: Host,
     peers: Arc<Peers>,
     timeline: Arc<Timeline>,
+    board: Arc<Board>,
+    overseer: Option<Overseer>,
 ) -> Result<Control, StartError> {
     let journal = match &settings.data_dir {
         Some(folder) => Some(Journal::open(folder, host.incarnation)?),
@@ -152,6 +159,8 @@
         peers: Arc::clone(&peers),
         timeline,
         journal,
+        board,
+        overseer,
         publish,
         note_change,
     };
@@ -311,6 +320,25 @@
         let _ = self.actor.cast(Message::Reports(reports));
     }
 
+    /// What this host knows, surely no older than the question; `None` when no leader confirms it.
+    pub async fn newest(&self) -> Option<Arc<World>> {
+        match self.ask_leader(Request::Newest).await? {
+            Response::Newest(Some(index)) => self.reached(index).await,
+            _ => None,
+        }
+    }
+
+    /// Where a platform's members and operators reach the leader, as far as this host knows.
+    pub async fn leader_control(&self) -> Option<SocketAddr> {
+        let leader = self.status().await?.leader?;
+        self.world().state.view.get(&leader)?.control
+    }
+
+    /// Tells the leader this host's sights at once.
+    pub(crate) fn sights(&self) {
+        let _ = self.actor.cast(Message::Sights);
+    }
+
     /// Asks the leader, wherever it is; `None` when none answers.
     pub async fn ask_leader(&self, request: Request) -> Option<Response> {
         let leader = self.status().await?.leader?;
--- a/crates/hemlockcrank/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -3,16 +3,18 @@
 mod ask;
 mod events;
 mod form;
+mod oversee;
 mod serve;
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use hemlockcrank_core::{
     Name,
-    consensus::{Envelope, Input, Role},
+    consensus::{Envelope, Input, Role, Timing},
     failover::Report,
     membership::Host,
     state::{Command, Reply, State},
+    succession::{Order, Promoted, Row},
 };
 use hemlockcrank_wire::{Follow, Formation, News, ProposeReply, Request, Response, Update};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
@@ -28,9 +30,11 @@
     formation::Founding,
     group::{Group, ReplyPort, Work, command_of, reply, state_of},
     leader::Duties,
+    steward::{Overseer, Steward},
 };
 use crate::{
     clock::now_ms,
+    engine::Board,
     event::{Event, Timeline},
     journal::{Journal, JournalError},
     peers::{CALL_LIMIT, Peers},
@@ -48,6 +52,10 @@
 /// Applied entries kept for followers, also after the log is compacted; one further behind gets the whole
 /// state.
 const RECENT_KEPT: usize = 4_096;
+/// Whole configurations among them.
+const CATALOGS_KEPT: usize = 4;
+/// Silence after which a voter is replaced on a platform of its own, in milliseconds.
+const SITE_SILENT_MS: u64 = 2_500;
 
 /// What the actor is told.
 #[derive(Debug)]
@@ -62,6 +70,20 @@
     News { asked_at: u64, news: Option<News> },
     /// This host's watches speak.
     Reports(Vec<Report>),
+    /// This host's sights have changed and cannot wait.
+    Sights,
+    /// A member answered an order about itself, or did not in time.
+    Answered {
+        service: Name,
+        order: Order,
+        row: Option<Row>,
+    },
+    /// A promotion was answered.
+    Promoted {
+        service: Name,
+        member: Name,
+        outcome: Promoted,
+    },
     /// This host shuts down.
     Drain,
     /// This host is about to be taken out of the view.
@@ -77,6 +99,8 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) journal: Option<Journal>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) overseer: Option<Overseer>,
     pub(crate) publish: watch::Sender<Arc<World>>,
     pub(crate) note_change: watch::Sender<u64>,
 }
@@ -111,6 +135,9 @@
     duties: Option<Duties>,
     role: Option<Role>,
     reports: Vec<Report>,
+    board: Arc<Board>,
+    overseer: Option<Overseer>,
+    steward: Option<Steward>,
     had_lease: bool,
     draining: bool,
     left: bool,
@@ -156,7 +183,8 @@
 impl Control {
     fn new(arguments: Arguments, myself: ActorRef<Message>) -> Self {
         let host = arguments.host;
-        let group = arguments.journal.map(|j| Group::new(&host.name, j));
+        let timing = timing(&arguments.settings);
+        let group = arguments.journal.map(|j| Group::new(&host.name, j, timing));
         let snapshot = group.as_ref().and_then(Group::node);
         let state = snapshot.and_then(|node| state_of(node.log().snapshot()));
         let seed = host.incarnation ^ u64::from(std::process::id()) ^ name_seed(&host.name);
@@ -180,6 +208,9 @@
             duties: None,
             role: None,
             reports: Vec::new(),
+            board: arguments.board,
+            overseer: arguments.overseer,
+            steward: None,
             had_lease: false,
             draining: false,
             left: false,
@@ -195,6 +226,17 @@
             Message::Formed(from, formation) => self.formed(&from, formation)?,
             Message::News { asked_at, news } => self.news(asked_at, news),
             Message::Reports(reports) => self.own_reports(reports),
+            Message::Sights => self.follow(now_ms(), true),
+            Message::Answered {
+                service,
+                order,
+                row,
+            } => self.answered(&service, &order, row)?,
+            Message::Promoted {
+                service,
+                member,
+                outcome,
+            } => self.promoted(&service, &member, outcome)?,
             Message::Drain => self.draining = true,
             Message::Leave => self.left = true,
             Message::Status(port) => reply(port, self.status()),
@@ -235,10 +277,10 @@
         let node = self.group.as_ref().and_then(Group::node);
         let role = node.map(hemlockcrank_core::consensus::Node::role);
         let leads = node.is_some_and(hemlockcrank_core::consensus::Node::is_settled);
+        let term = node.map_or(0, hemlockcrank_core::consensus::Node::term);
         if role != self.role {
             self.role = role;
             if let Some(role) = role {
-                let term = node.map_or(0, hemlockcrank_core::consensus::Node::term);
                 self.timeline
                     .emit(Event::RoleChanged, &[("role", &role), ("term", &term)]);
             }
@@ -249,8 +291,14 @@
             }
         }
         match (leads, self.duties.is_some()) {
-            (true, false) => self.duties = Some(Duties::begin(now_ms(), &self.state)),
-            (false, true) => self.duties = None,
+            (true, false) => {
+                self.duties = Some(Duties::begin(now_ms(), &self.state));
+                self.steward = self.overseer.as_ref().map(|_| Steward::new(term));
+            }
+            (false, true) => {
+                self.duties = None;
+                self.steward = None;
+            }
             _ => {}
         }
     }
@@ -270,7 +318,7 @@
         for command in commands {
             self.propose(&command, None)?;
         }
-        Ok(())
+        self.oversee(now)
     }
 
     /// Whether this host leads and no other can.
@@ -332,6 +380,10 @@
                 };
                 reply(port, answer);
             }
+            Request::Newest => {
+                let newest = self.leads(now_ms()).then_some(self.state.index);
+                reply(port, Response::Newest(newest));
+            }
             Request::Borrow { .. } | Request::HandOver { .. } | Request::Events => {
                 reply(port, Response::Unavailable);
             }
@@ -389,12 +441,32 @@
             index,
             command: command.cloned(),
         });
+        if matches!(command, Some(Command::Catalog(_))) {
+            self.forget_old_catalogs();
+        }
         if let Some(command) = command {
             self.log_command(index, command, &outcome);
         }
         outcome
     }
 
+    /// Keeps few of the long commands; a follower further behind gets the whole state.
+    fn forget_old_catalogs(&mut self) {
+        let is_catalog = |update: &Update| matches!(update.command, Some(Command::Catalog(_)));
+        let mut kept = self
+            .recent
+            .iter()
+            .filter(|update| is_catalog(update))
+            .count();
+        while kept > CATALOGS_KEPT {
+            kept -= usize::from(
+                self.recent
+                    .pop_front()
+                    .is_some_and(|update| is_catalog(&update)),
+            );
+        }
+    }
+
     fn publish(&mut self) {
         let lease = self.following.lease();
         let key = (self.state.index, lease.until(), self.draining);
@@ -418,7 +490,9 @@
             lease,
             draining: self.draining,
         }));
-        let same_records = Arc::ptr_eq(&old.state.records, &self.state.records);
+        let same_records = Arc::ptr_eq(&old.state.records, &self.state.records)
+            && Arc::ptr_eq(&old.state.catalog, &self.state.catalog)
+            && Arc::ptr_eq(&old.state.groups, &self.state.groups);
         if !same_records || old.draining != self.draining {
             self.note_change.send_modify(|count| *count += 1);
         }
@@ -452,6 +526,16 @@
     }
 }
 
+/// Time limits of the control group: where hosts come and go by themselves, a silent voter is replaced
+/// within the time in which a second one may be lost.
+fn timing(settings: &Settings) -> Timing {
+    let mut timing = Timing::default();
+    if settings.platform.is_some() {
+        timing.silent_ms = SITE_SILENT_MS;
+    }
+    timing
+}
+
 fn name_seed(name: &str) -> u64 {
     name.bytes()
         .fold(0, |seed: u64, byte| seed.wrapping_mul(31) + u64::from(byte))
--- a/crates/hemlockcrank/src/control/actor/ask.rs
+++ b/crates/hemlockcrank_host/src/control/actor/ask.rs
@@ -26,6 +26,8 @@
             host: self.host.clone(),
             applied: self.state.index,
             reports: self.reports.clone(),
+            serves: self.settings.listen.caller.is_some(),
+            sights: self.board.sights(now),
         });
         if urgent {
             self.send(address, request);
@@ -44,10 +46,18 @@
         });
     }
 
-    /// Peer addresses that may lead: the hosts named in the settings, this one left out.
+    /// Peer addresses that may lead: the hosts named in the settings and, on a platform of its own, those
+    /// in view that serve control. This one is left out.
     pub(super) fn candidates(&self) -> Vec<SocketAddr> {
         let peers = self.settings.peers.iter();
-        peers.map(|peer| peer.address).collect()
+        let mut addresses: Vec<SocketAddr> = peers.map(|peer| peer.address).collect();
+        for host in self.state.view.iter() {
+            let other = host.name != self.host.name && host.control.is_some();
+            if other && !addresses.contains(&host.peer) {
+                addresses.push(host.peer);
+            }
+        }
+        addresses
     }
 
     pub(super) fn news(&mut self, asked_at: u64, news: Option<News>) {
@@ -62,7 +72,9 @@
                 updates,
                 index,
                 remaining_ms,
+                bearings,
             }) => {
+                self.board.hear(asked_at, now, &bearings);
                 for update in &updates {
                     if update.index == self.state.index + 1 {
                         self.apply(update.index, update.command.as_ref());
@@ -73,7 +85,9 @@
             Some(News::State {
                 state,
                 remaining_ms,
+                bearings,
             }) => {
+                self.board.hear(asked_at, now, &bearings);
                 let index = state.index;
                 self.replace_state(*state);
                 self.following.granted(index, asked_at, remaining_ms);
--- a/crates/hemlockcrank/src/control/actor/events.rs
+++ b/crates/hemlockcrank_host/src/control/actor/events.rs
@@ -73,6 +73,19 @@
                     [("workspace", &place.workspace), ("database", database)];
                 log.emit(Event::Placed, &fields);
             }
+            (Command::Catalog(catalog), Reply::Done) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("version", &catalog.version()), ("index", &index)];
+                log.emit(Event::CatalogInForce, &fields);
+            }
+            (Command::Group(edit), outcome) => {
+                let fields: [(&str, &dyn std::fmt::Display); 3] = [
+                    ("edit", &format!("{edit:?}")),
+                    ("outcome", &format!("{outcome:?}")),
+                    ("index", &index),
+                ];
+                log.emit(Event::GroupChanged, &fields);
+            }
             _ => {}
         }
     }
--- a/crates/hemlockcrank/src/control/actor/form.rs
+++ b/crates/hemlockcrank_host/src/control/actor/form.rs
@@ -21,11 +21,19 @@
             }
             return Ok(());
         };
-        if !node.log().config().contains(node.id()) && now >= self.join_at {
+        let listed = node.log().config().contains(node.id());
+        let alone = node.leader().is_none() && self.settings.platform.is_some();
+        if (!listed || alone) && now >= self.join_at {
             self.join_at = now + JOIN_MS;
             let request = Request::Join(node.id().clone());
-            if let Some(address) = self.leader_address() {
-                self.send(address, request);
+            match self.leader_address() {
+                Some(address) => self.send(address, request),
+                None if alone => {
+                    for address in self.candidates() {
+                        self.send(address, request.clone());
+                    }
+                }
+                None => {}
             }
         }
         Ok(())
@@ -34,7 +42,8 @@
     pub(super) fn ask_formation(&self) {
         for peer in &self.settings.peers {
             let (peers, myself, peer) = (self.peers.clone(), self.myself.clone(), peer.clone());
-            if !self.settings.bootstrap.contains(&peer.host) {
+            let founder = self.settings.bootstrap.contains(&peer.host);
+            if !founder && self.settings.seeds.is_empty() {
                 continue;
             }
             tokio::spawn(async move {
--- a/crates/hemlockcrank/src/control/actor/serve.rs
+++ b/crates/hemlockcrank_host/src/control/actor/serve.rs
@@ -28,6 +28,12 @@
         };
         let command = duties.heard(now, &self.state, &follow.host, follow.applied);
         duties.reports(now, &follow.host.name, follow.reports.clone());
+        duties.serves(&follow.host.name, follow.serves);
+        if let Some(steward) = &mut self.steward {
+            steward
+                .sightings
+                .note(now, &follow.host.name, follow.sights.clone());
+        }
         if let Some(command) = command {
             self.propose(&command, None)?;
         }
@@ -36,7 +42,7 @@
             follow,
             port,
         });
-        Ok(())
+        self.oversee(now)
     }
 
     pub(super) fn redirect(&self) -> News {
@@ -70,6 +76,7 @@
     pub(super) fn updates_after(&self, applied: u64) -> News {
         let remaining_ms = lease::TERM_MS;
         let index = self.state.index;
+        let bearings = self.bearings();
         let reaches_back = self
             .recent
             .front()
@@ -86,10 +93,12 @@
                 updates,
                 index,
                 remaining_ms,
+                bearings,
             },
             None => News::State {
                 state: Box::new(self.state.clone()),
                 remaining_ms,
+                bearings,
             },
         }
     }
--- a/crates/hemlockcrank/src/control/group.rs
+++ b/crates/hemlockcrank_host/src/control/group.rs
@@ -19,6 +19,8 @@
 
 /// Entries after which the log is compacted.
 const COMPACT_ENTRIES: usize = 256;
+/// Bytes of commands after which the log is compacted.
+const COMPACT_BYTES: usize = 2 * 1024 * 1024;
 
 /// Answer port of a proposal.
 pub(crate) type ReplyPort = RpcReplyPort<ProposeReply>;
@@ -36,20 +38,24 @@
     journal: Journal,
     node: Option<Node>,
     id: Id,
+    timing: Timing,
+    log_bytes: usize,
     waiting: BTreeMap<u64, (u64, ReplyPort)>,
 }
 
 impl Group {
     /// Continues from the journal; without a saved group the disk is fresh.
-    pub(crate) fn new(host: &str, mut journal: Journal) -> Self {
+    pub(crate) fn new(host: &str, mut journal: Journal, timing: Timing) -> Self {
         let id = Id::new(host, journal.incarnation());
         let node = journal
             .take_saved()
-            .map(|saved| Node::restore(id.clone(), saved, Timing::default(), now_ms()));
+            .map(|saved| Node::restore(id.clone(), saved, timing.clone(), now_ms()));
         Self {
             journal,
             node,
             id,
+            timing,
+            log_bytes: 0,
             waiting: BTreeMap::new(),
         }
     }
@@ -77,7 +83,7 @@
             snapshot,
             ..Saved::default()
         };
-        let node = Node::restore(self.id.clone(), saved, Timing::default(), now_ms());
+        let node = Node::restore(self.id.clone(), saved, self.timing.clone(), now_ms());
         self.node = Some(node);
         Ok(())
     }
@@ -141,11 +147,13 @@
         let Some(node) = &mut self.node else {
             return Ok(false);
         };
-        if node.log().len() < COMPACT_ENTRIES || node.commit() != state.index {
+        let long = node.log().len() >= COMPACT_ENTRIES || self.log_bytes >= COMPACT_BYTES;
+        if !long || node.commit() != state.index {
             return Ok(false);
         }
         let data: Data = encode(state)?.into();
         let index = state.index;
+        self.log_bytes = 0;
         let work = self.step(Input::Compact { index, data })?;
         debug_assert!(work.applied.is_empty(), "compaction applies nothing");
         Ok(true)
@@ -159,6 +167,7 @@
             match output {
                 Output::Persist(change) => {
                     rewrite |= matches!(change, Persist::Snapshot(_));
+                    self.log_bytes += command_bytes(&change);
                     changes.push(change);
                 }
                 Output::Send(envelope) => work.sends.push(envelope),
@@ -188,6 +197,17 @@
     }
 }
 
+fn command_bytes(change: &Persist) -> usize {
+    let Persist::Entries(entries) = change else {
+        return 0;
+    };
+    let bytes = entries.iter().map(|entry| match &entry.payload {
+        Payload::Command(data) => data.len(),
+        Payload::Noop | Payload::Members(_) => 0,
+    });
+    bytes.sum()
+}
+
 /// Decodes an entry's command; `None` for entries of the protocol itself.
 pub(crate) fn command_of(entry: &Entry) -> Option<Command> {
     match &entry.payload {
--- a/crates/hemlockcrank/src/control/leader.rs
+++ b/crates/hemlockcrank_host/src/control/leader.rs
@@ -18,6 +18,8 @@
 
 /// Silence after which a host's lease and all loans that it made have surely ended, in milliseconds.
 const HOST_GONE_MS: u64 = lease::TERM_MS + LOAN_MS + LOAN_MARGIN_MS;
+/// Addition to a host's lease at the leader, which covers clock drift, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 50;
 /// Pause before the same command is proposed again, in milliseconds.
 const PROPOSE_AGAIN_MS: u64 = 1_000;
 
@@ -25,6 +27,7 @@
 struct Heard {
     at: u64,
     applied: u64,
+    serves: bool,
 }
 
 /// The leader's volatile knowledge.
@@ -43,6 +46,7 @@
             let heard = Heard {
                 at: now,
                 applied: 0,
+                serves: true,
             };
             (host.name.clone(), heard)
         });
@@ -60,7 +64,12 @@
         host: &Host,
         applied: u64,
     ) -> Option<Command> {
-        let heard = Heard { at: now, applied };
+        let serves = self.heard.get(&host.name).is_none_or(|heard| heard.serves);
+        let heard = Heard {
+            at: now,
+            applied,
+            serves,
+        };
         self.heard.insert(host.name.clone(), heard);
         if state.view.get(&host.name) == Some(host) {
             return None;
@@ -77,6 +86,26 @@
         }
     }
 
+    /// Notes whether a host serves callers.
+    pub(crate) fn serves(&mut self, host: &str, serves: bool) {
+        if let Some(heard) = self.heard.get_mut(host) {
+            heard.serves = serves;
+        }
+    }
+
+    /// Serving hosts in view, each with the time at which its lease surely ends.
+    pub(crate) fn lease_ends<'a>(
+        &'a self,
+        state: &'a State,
+    ) -> impl Iterator<Item = (&'a Name, u64)> {
+        state.view.iter().filter_map(|host| {
+            let heard = self.heard.get(&host.name)?;
+            heard
+                .serves
+                .then_some((&host.name, heard.at + lease::TERM_MS + LEASE_MARGIN_MS))
+        })
+    }
+
     /// Asks for a planned change of primary.
     pub(crate) fn want(&mut self, database: Name, member: Name) {
         self.wanted.insert(database, member);
--- /dev/null
+++ b/crates/hemlockcrank_host/src/control/steward.rs
@@ -0,0 +1,118 @@
+//! The leader's part in groups that replicate by themselves: orders out, answers in.
+//!
+//! Decisions are those of [`hemlockcrank_core::succession`]; here are only the calls.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use hemlockcrank_core::{
+    Name,
+    group::Group,
+    sight::Sightings,
+    succession::{Order, Promoted, Row, Succession},
+};
+
+use crate::clock::now_ms;
+
+/// A boxed answer in the making.
+type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+/// Asks a member for itself.
+pub type Ask = dyn Fn(Question) -> Answer<Option<Row>> + Send + Sync;
+/// Asks for a change of primary.
+pub type Promote = dyn Fn(Promotion) -> Answer<Promoted> + Send + Sync;
+
+/// An order to one member.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// Service that the member belongs to.
+    pub service: Name,
+    /// Member.
+    pub member: Name,
+    /// Where it takes connections.
+    pub address: SocketAddr,
+    /// What to do.
+    pub order: Order,
+}
+
+/// A call for a change of primary.
+#[derive(Clone, Debug)]
+pub struct Promotion {
+    /// Service.
+    pub service: Name,
+    /// Member that takes over.
+    pub member: Name,
+    /// This host.
+    pub holder: Name,
+    /// Fencing token: the leader's term in the control group.
+    pub token: u64,
+    authority: Arc<AtomicU64>,
+}
+
+impl Promotion {
+    /// Whether no other host can lead yet: to be asked right before the call leaves.
+    pub fn is_current(&self) -> bool {
+        now_ms() < self.authority.load(Ordering::Acquire)
+    }
+}
+
+/// How the leader reaches members and asks for changes of primary.
+#[derive(Clone)]
+pub struct Overseer {
+    /// Asks a member for itself.
+    pub ask: Arc<Ask>,
+    /// Asks for a change of primary.
+    pub promote: Arc<Promote>,
+}
+
+impl fmt::Debug for Overseer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Overseer")
+    }
+}
+
+/// The leader's volatile knowledge of groups.
+pub(crate) struct Steward {
+    pub(crate) leadership: u64,
+    pub(crate) sightings: Sightings,
+    pub(crate) authority: Arc<AtomicU64>,
+    successions: BTreeMap<Name, Succession>,
+}
+
+impl Steward {
+    /// Starts the leadership of that term.
+    pub(crate) fn new(leadership: u64) -> Self {
+        Self {
+            leadership,
+            sightings: Sightings::new(leadership),
+            authority: Arc::default(),
+            successions: BTreeMap::new(),
+        }
+    }
+
+    /// Changes of primary of a service.
+    pub(crate) fn succession(&mut self, service: &Name, group: &Group) -> &mut Succession {
+        let fresh = || Succession::new(group);
+        self.successions
+            .entry(service.clone())
+            .or_insert_with(fresh)
+    }
+
+    /// The call that makes `member` the primary.
+    pub(crate) fn promotion(&self, service: &Name, member: Name, holder: Name) -> Promotion {
+        Promotion {
+            service: service.clone(),
+            member,
+            holder,
+            token: self.leadership,
+            authority: Arc::clone(&self.authority),
+        }
+    }
+}
--- a/crates/hemlockcrank/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -20,7 +20,8 @@
     caller,
     clock::wall_ms,
     context::Context,
-    control::{self, StartError},
+    control::{self, Overseer, StartError},
+    engine::{self, Board, Dialect, Site},
     event::{Event, Timeline},
     http,
     limits::Limits,
@@ -62,6 +63,18 @@
     Metrics(#[from] MetricsError),
 }
 
+/// Time for which a host that shuts down still serves newcomers: the balancer needs it to notice.
+const NEWCOMERS: Duration = Duration::from_millis(2_200);
+
+/// What a platform of its own brings along.
+#[derive(Debug)]
+pub struct Faces {
+    /// Protocol of callers and members.
+    pub dialect: Dialect,
+    /// How the control leader reaches members and changes primaries.
+    pub overseer: Overseer,
+}
+
 /// A running host; stops at once when dropped.
 #[derive(Debug)]
 pub struct Daemon {
@@ -70,14 +83,30 @@
 }
 
 impl Daemon {
-    /// Starts all parts on the present runtime.
+    /// Starts all parts on the present runtime, with the PostgreSQL face.
     ///
     /// # Errors
     ///
     /// [`DaemonError`] when an address or the data folder cannot be used.
     pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
+        Self::launch(settings, None).await
+    }
+
+    /// Starts all parts on the present runtime, with a platform's faces in place of PostgreSQL.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] when an address or the data folder cannot be used.
+    pub async fn start_with(settings: Settings, faces: Faces) -> Result<Self, DaemonError> {
+        Self::launch(settings, Some(faces)).await
+    }
+
+    async fn launch(settings: Settings, faces: Option<Faces>) -> Result<Self, DaemonError> {
         let settings = Arc::new(settings);
-        let callers = listen(settings.listen.caller, "callers").await?;
+        let callers = match settings.listen.caller {
+            Some(address) => Some(listen(address, "callers").await?),
+            None => None,
+        };
         let peer_listener = listen(settings.listen.peer, "peers").await?;
         let operators = listen(settings.listen.operator, "operators").await?;
         let timeline = Arc::new(Timeline::new(settings.host.clone()));
@@ -88,12 +117,23 @@
             zone: settings.zone.clone(),
             peer: settings.peer_address(),
             operator: settings.listen.operator,
+            control: settings
+                .platform
+                .as_ref()
+                .and_then(|platform| platform.control),
+        };
+        let board = Arc::new(Board::default());
+        let (dialect, overseer) = match faces {
+            Some(faces) => (Some(faces.dialect), Some(faces.overseer)),
+            None => (None, None),
         };
         let control = control::start(
             Arc::clone(&settings),
             host,
             Arc::clone(&peers),
             Arc::clone(&timeline),
+            Arc::clone(&board),
+            overseer,
         )
         .await?;
         let limits = Limits::new(control.clone(), Arc::clone(&peers));
@@ -103,6 +143,18 @@
             message_bytes: settings.limits.message_bytes,
             answer_limit: Duration::from_millis(settings.limits.silence_ms) * ANSWER_SILENCES,
         };
+        let metrics = Arc::new(Metrics::new()?);
+        let site = dialect.filter(|_| callers.is_some()).map(|dialect| {
+            Site::new(
+                dialect,
+                Arc::clone(&settings),
+                control.clone(),
+                Arc::clone(&limits),
+                board,
+                Arc::clone(&timeline),
+                Arc::clone(&metrics),
+            )
+        });
         let context = Arc::new(Context {
             settings,
             control,
@@ -110,7 +162,8 @@
             peers,
             upstreams: Upstreams::new(source),
             limits: Arc::clone(&limits),
-            metrics: Metrics::new()?,
+            metrics,
+            site: site.clone(),
             next_session: AtomicU64::new(0),
             sessions: AtomicUsize::new(0),
             cancels: Mutex::new(HashMap::new()),
@@ -118,12 +171,28 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(serve_peers(Arc::clone(&context), peer_listener));
         tasks.spawn(http::serve(Arc::clone(&context), operators));
-        tasks.spawn(caller::serve(Arc::clone(&context), callers));
-        tasks.spawn(Watcher::default().run(Arc::clone(&context)));
+        if dialect.is_none() {
+            tasks.spawn(Watcher::default().run(Arc::clone(&context)));
+        }
+        match (site, callers) {
+            (Some(site), Some(callers)) => {
+                tasks.spawn(Arc::clone(&site).run());
+                tasks.spawn(engine::serve(site, callers));
+            }
+            (None, Some(callers)) => {
+                tasks.spawn(caller::serve(Arc::clone(&context), callers));
+            }
+            (_, None) => {}
+        }
         tasks.spawn(limits.run());
         let listen = &context.settings.listen;
         let fields: [(&str, &dyn std::fmt::Display); 3] = [
-            ("caller", &listen.caller),
+            (
+                "caller",
+                &listen
+                    .caller
+                    .map_or_else(String::new, |caller| caller.to_string()),
+            ),
             ("peer", &listen.peer),
             ("operator", &listen.operator),
         ];
@@ -136,6 +205,14 @@
         &self.context
     }
 
+    /// Runs one more part as long as the host runs.
+    pub fn spawn<F>(&mut self, part: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.tasks.spawn(part);
+    }
+
     /// Stops gracefully: no new caller, open transactions finish, answers leave whole, then the host
     /// leaves the view.
     pub async fn shut_down(mut self) {
@@ -144,7 +221,11 @@
         context.control.drain();
         let limit = Duration::from_millis(context.settings.limits.drain_ms);
         let drained = async {
-            while context.sessions.load(Ordering::Relaxed) > 0 {
+            if let Some(site) = &context.site {
+                tokio::time::sleep(NEWCOMERS).await;
+                site.close();
+            }
+            while open_sessions(&context) > 0 {
                 tokio::time::sleep(DRAIN_LOOK).await;
             }
         };
@@ -169,6 +250,14 @@
     }
 }
 
+fn open_sessions(context: &Context) -> usize {
+    let site = context
+        .site
+        .as_ref()
+        .map_or(0, |site| site.sessions.load(Ordering::Relaxed));
+    site + context.sessions.load(Ordering::Relaxed)
+}
+
 async fn listen(address: SocketAddr, face: &'static str) -> Result<TcpListener, DaemonError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| DaemonError::Listen {
--- /dev/null
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -0,0 +1,317 @@
+//! Reads outside a transaction: which members, how often, and when a second one is asked as well.
+
+use std::{sync::Arc, time::Duration};
+
+use hemlockcrank_core::{
+    Name,
+    balance::{Candidate, choose},
+    catalog::Freshness,
+    session::Position,
+};
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use super::{
+    Code, Query, Shape, Site,
+    admission::{Operation, Refusal},
+    board::Hold,
+    link::{Answer, Values},
+    pool::{Loan, Pool, Unavailable, Wish},
+};
+use crate::{clock::now_ms, control::World};
+
+/// Distance kept from the stated age, in milliseconds.
+const AGE_MARGIN_MS: u64 = 30;
+/// Pause before all members are tried again.
+const ROUND_PAUSE: Duration = Duration::from_millis(15);
+/// Longest wait for a connection to one member, in milliseconds.
+const PLACE_LIMIT_MS: u64 = 150;
+/// Shortest silence after which a second member is asked, in milliseconds.
+const HEDGE_MS: u64 = 120;
+/// Latencies of a member after which a second one is asked.
+const HEDGE_LATENCIES: u64 = 4;
+/// Most members asked for one read.
+const MAX_ATTEMPTS: usize = 6;
+
+/// One statement on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Work {
+    pub(crate) operation: Operation,
+    pub(crate) id: Name,
+    pub(crate) text: Name,
+    pub(crate) shape: Option<(Name, Shape)>,
+    pub(crate) values: Arc<Values>,
+    /// Newest commit of the session.
+    pub(crate) watermark: Position,
+    pub(crate) deadline: u64,
+}
+
+impl Work {
+    pub(crate) fn wish(&self) -> Wish<'_> {
+        Wish {
+            workspace: &self.operation.workspace,
+            values: &self.values,
+            priority: self.operation.route.priority,
+        }
+    }
+
+    pub(crate) fn left(&self, now: u64) -> Duration {
+        Duration::from_millis(self.deadline.saturating_sub(now))
+    }
+}
+
+/// How one attempt ended without a result.
+#[derive(Clone, Debug)]
+pub(crate) enum Miss {
+    /// It may not run any more, at any member.
+    Refused(Refusal),
+    /// It did not run at this member.
+    NotRun,
+    /// It ran and failed.
+    Failed(Answer),
+    /// No answer came.
+    Lost,
+}
+
+/// A member that may serve a read.
+pub(crate) struct Choice {
+    pub(crate) name: Name,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) after: Option<Position>,
+    pub(crate) hold: Option<Hold>,
+}
+
+impl Site {
+    /// Best member for a read, except those in `tried`.
+    pub(crate) fn choose(
+        &self,
+        world: &World,
+        operation: &Operation,
+        watermark: Position,
+        tried: &[Name],
+    ) -> Option<Choice> {
+        let now = now_ms();
+        let route = &operation.route;
+        let group = world.state.groups.get(&route.service)?;
+        let lead = group.lead.as_ref()?;
+        let floor = self.floor(operation, lead.term, watermark);
+        let mut members = Vec::new();
+        let mut candidates = Vec::new();
+        for (name, member) in &group.members {
+            let primary = *name == lead.member;
+            let barred = if primary {
+                group.change.is_some()
+            } else {
+                floor.is_none()
+            };
+            if barred || tried.contains(name) || !world.state.groups.takes_work(member) {
+                continue;
+            }
+            let pool = self.pool(&world.state, &route.service, name, member);
+            candidates.push(Candidate {
+                load: pool.load(),
+                near: *member.zone == *self.settings.zone,
+                connected: pool.has_idle(&operation.workspace),
+                primary,
+            });
+            members.push((name, pool, primary));
+        }
+        let best = choose(now, &candidates)?;
+        let (name, pool, primary) = members.swap_remove(best);
+        let hold = match primary {
+            true => Some(self.board.hold(&route.service, lead.term)?),
+            false => None,
+        };
+        Some(Choice {
+            name: name.clone(),
+            pool,
+            after: floor.filter(|_| !primary),
+            hold,
+        })
+    }
+
+    /// Position that a replica must have reached; `None` when only the primary will do.
+    fn floor(&self, operation: &Operation, term: u64, watermark: Position) -> Option<Position> {
+        let route = &operation.route;
+        let since = operation.arrived.saturating_sub(route.max_age_ms) + AGE_MARGIN_MS;
+        let sampled = || self.board.floor(&route.service, term, since);
+        match route.freshness {
+            Freshness::Primary => None,
+            Freshness::Bounded => sampled(),
+            Freshness::ReadYourWrites => sampled().map(|floor| floor.max(watermark)),
+        }
+    }
+
+    /// Runs a read at one member after the other until one has a result.
+    pub(crate) async fn read(self: &Arc<Self>, work: Work) -> Result<Answer, Refusal> {
+        let work = Arc::new(work);
+        let mut tried: Vec<Name> = Vec::new();
+        let mut running = JoinSet::new();
+        let mut attempts = 0;
+        let mut failed = None;
+        loop {
+            let now = now_ms();
+            if now >= work.deadline {
+                running.detach_all();
+                return Err(Refusal::new(Code::Busy, "no result in time"));
+            }
+            let world = self.world();
+            work.operation.is_permitted(&world)?;
+            let choice = self.choose(&world, &work.operation, work.watermark, &tried);
+            let Some(choice) = choice.filter(|_| attempts < MAX_ATTEMPTS) else {
+                if running.is_empty() {
+                    if let Some(answer) = failed {
+                        return Ok(answer);
+                    }
+                    if now >= work.operation.patience() || attempts >= MAX_ATTEMPTS {
+                        return Err(Refusal::new(Code::Busy, "no member can serve the read"));
+                    }
+                    tried.clear();
+                    sleep(ROUND_PAUSE).await;
+                    continue;
+                }
+                match timeout(work.left(now), running.join_next()).await {
+                    Ok(Some(Ok(Ok(answer)))) => {
+                        running.detach_all();
+                        return Ok(answer);
+                    }
+                    Ok(Some(Ok(Err(Miss::Refused(refusal))))) => return Err(refusal),
+                    Ok(Some(Ok(Err(Miss::Failed(answer))))) => failed = Some(answer),
+                    _ => {}
+                }
+                continue;
+            };
+            attempts += 1;
+            tried.push(choice.name.clone());
+            let hedge = choice.pool.load().latency_ms() * HEDGE_LATENCIES;
+            let hedge = Duration::from_millis(hedge.max(HEDGE_MS)).min(work.left(now));
+            running.spawn(Arc::clone(self).attempt(Arc::clone(&work), choice));
+            match timeout(hedge, running.join_next()).await {
+                Ok(Some(Ok(Ok(answer)))) => {
+                    running.detach_all();
+                    return Ok(answer);
+                }
+                Ok(Some(Ok(Err(Miss::Refused(refusal))))) => return Err(refusal),
+                Ok(Some(Ok(Err(Miss::Failed(answer))))) => failed = Some(answer),
+                _ => self.metrics.retry(),
+            }
+        }
+    }
+
+    async fn attempt(self: Arc<Self>, work: Arc<Work>, choice: Choice) -> Result<Answer, Miss> {
+        let service = &work.operation.route.service;
+        let limit = work
+            .left(now_ms())
+            .min(Duration::from_millis(PLACE_LIMIT_MS));
+        let _busy = choice.pool.busy();
+        let place = choice.pool.acquire(work.wish(), limit).await;
+        let mut loan = match place {
+            Ok(loan) => loan,
+            Err(error) => {
+                self.missed(&choice, service, error);
+                return Err(Miss::NotRun);
+            }
+        };
+        let term = choice.hold.as_ref().map(Hold::term);
+        let query = Query {
+            id: work.id.clone(),
+            text: work.text.clone(),
+            after: choice.after,
+        };
+        let outcome = self.exchange(&mut loan, &work, &query).await;
+        let now = now_ms();
+        match outcome {
+            Ok((sent_at, answer)) => {
+                if answer.outcome.is_ok() {
+                    choice
+                        .pool
+                        .note(|load| load.succeed(now.saturating_sub(sent_at)));
+                }
+                if let Some(term) = term {
+                    self.note_primary(service, term, sent_at, &answer);
+                }
+                match &answer.outcome {
+                    Ok(_) => Ok(answer),
+                    Err((code, _)) if code.is_not_run() => Err(Miss::NotRun),
+                    Err(_) => Err(Miss::Failed(answer)),
+                }
+            }
+            Err(miss) => {
+                if matches!(miss, Miss::Lost) {
+                    choice.pool.note(|load| load.fail(now));
+                    if let Some(term) = term {
+                        self.primary_failed(service, term);
+                    }
+                }
+                Err(miss)
+            }
+        }
+    }
+
+    /// Notes an answer of the primary for the leader.
+    pub(crate) fn note_primary(&self, service: &Name, term: u64, sent_at: u64, answer: &Answer) {
+        match &answer.outcome {
+            Err((Code::ReadOnly | Code::Misrouted, _)) => self.primary_failed(service, term),
+            Err((Code::Busy | Code::TooMany, _)) => {}
+            _ => self
+                .board
+                .served(now_ms(), service, term, sent_at, answer.position),
+        }
+    }
+
+    /// Notes that there was no connection.
+    pub(crate) fn missed(&self, choice: &Choice, service: &Name, error: Unavailable) {
+        let now = now_ms();
+        let refused =
+            matches!(error, Unavailable::Refused(Code::TooMany)) || error == Unavailable::Late;
+        if refused {
+            return;
+        }
+        choice.pool.note(|load| load.fail(now));
+        if let Some(hold) = &choice.hold {
+            self.primary_failed(service, hold.term());
+        }
+    }
+
+    /// Sets a connection up and runs a statement outside a transaction on it; returns when it was sent.
+    pub(crate) async fn exchange(
+        &self,
+        loan: &mut Loan,
+        work: &Work,
+        query: &Query,
+    ) -> Result<(u64, Answer), Miss> {
+        let left = work.left(now_ms());
+        let Some(link) = loan.link() else {
+            return Err(Miss::NotRun);
+        };
+        let shape = work.shape.as_ref().map(|(name, shape)| (name, shape));
+        let setup = link.setup(&work.values, shape);
+        if !setup.is_empty() {
+            let done = timeout(left, link.run_own(&setup)).await;
+            let good = matches!(&done, Ok(Ok(Some(answer))) if answer.outcome.is_ok());
+            if !good {
+                loan.spoil();
+                return Err(Miss::NotRun);
+            }
+        }
+        if let Err(refusal) = work.operation.is_permitted(&self.world()) {
+            return Err(Miss::Refused(refusal));
+        }
+        let sent_at = now_ms();
+        let Some(link) = loan.link() else {
+            return Err(Miss::NotRun);
+        };
+        match timeout(work.left(sent_at), link.run(query)).await {
+            Ok(Ok(answer)) => {
+                link.settle(answer.status);
+                Ok((sent_at, answer))
+            }
+            _ => {
+                loan.spoil();
+                Err(Miss::Lost)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank_host/src/engine/site.rs
@@ -0,0 +1,225 @@
+//! What all sessions of this host share.
+
+use std::{
+    collections::HashMap,
+    net::IpAddr,
+    sync::{Arc, Mutex, atomic::AtomicUsize},
+    time::Duration,
+};
+
+use hemlockcrank_core::{
+    Name,
+    group::{Change, Member},
+    state::State,
+};
+use tokio::{sync::watch, time::sleep};
+
+use super::{Board, Dialect, link::Target, pool::Pool};
+use crate::{
+    clock::now_ms,
+    control::{Control, World},
+    event::{Event, Timeline},
+    limits::Limits,
+    metrics::Metrics,
+    settings::Settings,
+    sync::lock,
+};
+
+/// Interval between two looks at a primary that is to be released.
+const RELEASE_LOOK: Duration = Duration::from_millis(10);
+/// Longest wait for open transactions when the old primary still works, in milliseconds.
+const PLANNED_RELEASE_MS: u64 = 600;
+/// Longest wait for statements under way when it does not, in milliseconds.
+const RELEASE_MS: u64 = 100;
+
+/// Everything that a session needs.
+#[derive(Debug)]
+pub struct Site {
+    pub(crate) dialect: Dialect,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) control: Control,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) sessions: AtomicUsize,
+    closing: watch::Sender<bool>,
+    pools: Mutex<HashMap<Name, Arc<Pool>>>,
+}
+
+impl Site {
+    pub(crate) fn new(
+        dialect: Dialect,
+        settings: Arc<Settings>,
+        control: Control,
+        limits: Arc<Limits>,
+        board: Arc<Board>,
+        timeline: Arc<Timeline>,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            dialect,
+            settings,
+            control,
+            limits,
+            board,
+            timeline,
+            metrics,
+            sessions: AtomicUsize::new(0),
+            closing: watch::channel(false).0,
+            pools: Mutex::default(),
+        })
+    }
+
+    /// Has idle sessions end, and others once they are idle.
+    pub(crate) fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Whether sessions end once they are idle.
+    pub(crate) fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
+    }
+
+    pub(crate) fn world(&self) -> Arc<World> {
+        self.control.world()
+    }
+
+    pub(crate) fn from(&self) -> IpAddr {
+        self.settings.listen.peer.ip()
+    }
+
+    /// Connections to a member.
+    pub(crate) fn pool(
+        &self,
+        state: &State,
+        service: &Name,
+        name: &Name,
+        member: &Member,
+    ) -> Arc<Pool> {
+        let mut pools = lock(&self.pools);
+        if let Some(pool) = pools.get(name)
+            && pool.target.address == member.address
+        {
+            return Arc::clone(pool);
+        }
+        let target = Target {
+            address: member.address,
+            from: self.from(),
+            service: service.clone(),
+            member: name.clone(),
+        };
+        let pool = Pool::new(self.dialect, target, capacity(state, service));
+        pools.insert(name.clone(), Arc::clone(&pool));
+        pool
+    }
+
+    /// Notes that a primary could not be used; the leader hears of the first time at once.
+    pub(crate) fn primary_failed(&self, service: &Name, term: u64) {
+        if self.board.failed(now_ms(), service, term) {
+            self.timeline.emit(
+                Event::PrimaryMissed,
+                &[("service", service), ("term", &term)],
+            );
+            self.control.sights();
+        }
+    }
+
+    /// Follows the committed state: terms, changes of primary, members that left.
+    pub(crate) async fn run(self: Arc<Self>) {
+        let mut watch = self.control.watch();
+        let mut pending: HashMap<Name, (Change, u64)> = HashMap::new();
+        loop {
+            let world = watch.borrow_and_update().clone();
+            self.follow(&world, &mut pending);
+            self.release(&mut pending);
+            let look = async {
+                if pending.is_empty() {
+                    std::future::pending::<()>().await;
+                }
+                sleep(RELEASE_LOOK).await;
+            };
+            tokio::select! {
+                changed = watch.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = look => {}
+            }
+        }
+    }
+
+    fn follow(&self, world: &World, pending: &mut HashMap<Name, (Change, u64)>) {
+        let state = &world.state;
+        for (service, group) in state.groups.iter() {
+            let term = group.lead.as_ref().map_or(0, |lead| lead.term);
+            let change = group.change;
+            self.board
+                .grant(service, term, change.map(|change| change.index));
+            match change {
+                Some(change) => {
+                    let known = pending.get(service).map(|(known, _)| known.index);
+                    if known != Some(change.index) {
+                        pending.insert(service.clone(), (change, now_ms()));
+                    }
+                }
+                None => {
+                    pending.remove(service);
+                }
+            }
+        }
+        let mut pools = lock(&self.pools);
+        pools.retain(|name, pool| {
+            let known = state.groups.find(name).is_some();
+            if known {
+                pool.set_capacity(capacity(state, &pool.target.service));
+            } else {
+                pool.close_idle();
+            }
+            known
+        });
+    }
+
+    /// Releases primaries that are being replaced; those done stay noted until the change is over.
+    fn release(&self, pending: &mut HashMap<Name, (Change, u64)>) {
+        let now = now_ms();
+        let mut told = false;
+        pending.retain(|service, (change, since)| {
+            let limit = if change.planned {
+                PLANNED_RELEASE_MS
+            } else {
+                RELEASE_MS
+            };
+            let late = now >= *since + limit;
+            let released = self.board.release(service, change.index, late);
+            if released {
+                told = true;
+                let fields: [(&str, &dyn std::fmt::Display); 3] = [
+                    ("service", service),
+                    ("change", &change.index),
+                    ("forced", &late),
+                ];
+                self.timeline.emit(Event::PrimaryReleased, &fields);
+            }
+            !released
+        });
+        if told {
+            self.control.sights();
+        }
+    }
+}
+
+/// This host's part of the connections that a member accepts.
+fn capacity(state: &State, service: &Name) -> usize {
+    let all = state
+        .catalog
+        .service(service)
+        .map_or(1, |known| known.connections);
+    let hosts = state
+        .view
+        .iter()
+        .filter(|host| host.control.is_none())
+        .count();
+    (all as usize / hosts.max(1)).max(1)
+}
--- /dev/null
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -0,0 +1,278 @@
+//! A session's open transaction: one connection from its first statement to its end.
+
+use std::{sync::Arc, time::Duration};
+
+use hemlockcrank_core::{catalog::Freshness, session::Position};
+use tokio::time::{sleep, timeout};
+
+use super::{
+    Code, Own, Query, Site, Status,
+    admission::{Operation, Refusal},
+    board::Hold,
+    link::Answer,
+    pool::{Busy, Loan},
+    read::{Choice, Work},
+};
+use crate::clock::now_ms;
+
+/// Pause before a statement that did not run is tried again.
+const AGAIN: Duration = Duration::from_millis(15);
+/// Longest wait for a connection, in milliseconds.
+const PLACE_LIMIT_MS: u64 = 150;
+/// Longest wait for a member to drop a transaction.
+const ROLLBACK_LIMIT: Duration = Duration::from_millis(500);
+
+/// Connection and right of a transaction that has begun at a member.
+#[derive(Debug)]
+struct Seat {
+    loan: Loan,
+    hold: Option<Hold>,
+    _busy: Busy,
+}
+
+/// An open transaction.
+#[derive(Debug)]
+pub(crate) struct Transaction {
+    pub(crate) operation: Operation,
+    read: bool,
+    watermark: Position,
+    seat: Option<Seat>,
+    wrote: bool,
+    /// Set once it cannot be committed any more.
+    pub(crate) failed: bool,
+}
+
+/// What a statement of a transaction is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// A read.
+    Read,
+    /// A write.
+    Write,
+    /// The commit.
+    Commit,
+}
+
+impl Transaction {
+    /// Opens one; nothing is sent to a member before its first statement.
+    pub(crate) fn new(operation: Operation, read: bool, watermark: Position) -> Self {
+        Self {
+            operation,
+            read,
+            watermark,
+            seat: None,
+            wrote: false,
+            failed: false,
+        }
+    }
+
+    /// Runs a statement, at the member that ran the first one.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`]: nothing of the transaction is kept, unless the code is [`Code::InDoubt`].
+    pub(crate) async fn run(
+        &mut self,
+        site: &Arc<Site>,
+        work: &Work,
+        step: Step,
+    ) -> Result<Answer, Refusal> {
+        if self.seat.is_none() {
+            self.seat = Some(self.begin(site, work).await?);
+        }
+        self.wrote |= step == Step::Write;
+        let outcome = self.step(site, work, step).await;
+        match &outcome {
+            Ok(answer) if answer.status == Status::Open => {}
+            Ok(answer) => {
+                self.failed |= answer.status == Status::Failed;
+                if answer.status == Status::Idle {
+                    self.seat = None;
+                }
+            }
+            Err(_) => {
+                self.failed = true;
+                self.abandon();
+            }
+        }
+        outcome
+    }
+
+    /// Drops the transaction at its member, in the background.
+    pub(crate) fn abandon(&mut self) {
+        let Some(mut seat) = self.seat.take() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let Some(link) = seat.loan.link() else {
+                return;
+            };
+            let done = timeout(ROLLBACK_LIMIT, link.run_own(&[Own::Rollback])).await;
+            let clean = matches!(&done, Ok(Ok(Some(answer))) if answer.status == Status::Idle);
+            if !clean {
+                seat.loan.spoil();
+            }
+        });
+    }
+
+    async fn begin(&mut self, site: &Arc<Site>, work: &Work) -> Result<Seat, Refusal> {
+        let mut tried = Vec::new();
+        let patience = now_ms() + self.operation.patience() - self.operation.arrived;
+        loop {
+            let now = now_ms();
+            let world = site.world();
+            self.operation.is_permitted(&world)?;
+            let service = &self.operation.route.service;
+            let choice = if self.read && self.operation.route.freshness != Freshness::Primary {
+                site.choose(&world, &self.operation, self.watermark, &tried)
+            } else {
+                site.primary(&world, service)
+            };
+            match choice {
+                Some(choice) => {
+                    tried.push(choice.name.clone());
+                    match self.sit(site, work, choice).await {
+                        Some(seat) => return Ok(seat),
+                        None => self.operation.is_permitted(&site.world())?,
+                    }
+                }
+                None => tried.clear(),
+            }
+            if now >= patience.min(work.deadline) {
+                return Err(Refusal::new(
+                    Code::Busy,
+                    "no member can open the transaction",
+                ));
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    /// Begins at one member; `None` where nothing has run.
+    async fn sit(&self, site: &Arc<Site>, work: &Work, choice: Choice) -> Option<Seat> {
+        let service = &self.operation.route.service;
+        let limit = work
+            .left(now_ms())
+            .min(Duration::from_millis(PLACE_LIMIT_MS));
+        let busy = choice.pool.busy();
+        let mut loan = match choice.pool.acquire(work.wish(), limit).await {
+            Ok(loan) => loan,
+            Err(error) => {
+                site.missed(&choice, service, error);
+                return None;
+            }
+        };
+        let link = loan.link()?;
+        let shape = work.shape.as_ref().map(|(name, shape)| (name, shape));
+        let mut own = link.setup(&work.values, shape);
+        own.push(Own::Begin {
+            read: self.read,
+            after: choice.after,
+        });
+        let sent_at = now_ms();
+        let done = timeout(work.left(sent_at), link.run_own(&own)).await;
+        let Ok(Ok(Some(answer))) = done else {
+            loan.spoil();
+            choice.pool.note(|load| load.fail(now_ms()));
+            if let Some(hold) = &choice.hold {
+                site.primary_failed(service, hold.term());
+            }
+            return None;
+        };
+        if let Some(hold) = &choice.hold {
+            site.note_primary(service, hold.term(), sent_at, &answer);
+        }
+        if answer.outcome.is_err() || answer.status != Status::Open {
+            if answer.status != Status::Idle {
+                loan.spoil();
+            }
+            return None;
+        }
+        Some(Seat {
+            loan,
+            hold: choice.hold,
+            _busy: busy,
+        })
+    }
+
+    async fn step(&mut self, site: &Arc<Site>, work: &Work, step: Step) -> Result<Answer, Refusal> {
+        let lost = match step {
+            Step::Commit if self.wrote => Refusal::new(Code::InDoubt, "no answer to the commit"),
+            _ => Refusal::new(Code::Aborted, "the member was lost"),
+        };
+        let service = self.operation.route.service.clone();
+        let Some(seat) = &mut self.seat else {
+            return Err(Refusal::new(Code::Aborted, "the transaction has ended"));
+        };
+        loop {
+            let now = now_ms();
+            if now >= work.deadline {
+                return Err(Refusal::new(
+                    Code::Aborted,
+                    "no place at the member in time",
+                ));
+            }
+            let held = seat.hold.as_ref().is_none_or(Hold::is_current);
+            if !held {
+                return Err(Refusal::new(Code::Aborted, "the primary is being replaced"));
+            }
+            let shape = work.shape.as_ref().map(|(name, shape)| (name, shape));
+            let Some(link) = seat.loan.link() else {
+                return Err(Refusal::new(Code::Aborted, "the member was lost"));
+            };
+            let setup = link.setup(&work.values, shape);
+            if !setup.is_empty() {
+                let done = timeout(work.left(now), link.run_own(&setup)).await;
+                let good = matches!(&done, Ok(Ok(Some(answer))) if answer.outcome.is_ok());
+                if !good {
+                    seat.loan.spoil();
+                    return Err(Refusal::new(
+                        Code::Aborted,
+                        "the session could not be set up",
+                    ));
+                }
+            }
+            self.operation.is_permitted(&site.world())?;
+            let Some(link) = seat.loan.link() else {
+                return Err(Refusal::new(Code::Aborted, "the member was lost"));
+            };
+            let query = Query {
+                id: work.id.clone(),
+                text: work.text.clone(),
+                after: None,
+            };
+            let sent_at = now_ms();
+            let Ok(Ok(answer)) = timeout(work.left(sent_at), link.run(&query)).await else {
+                seat.loan.spoil();
+                if let Some(hold) = &seat.hold {
+                    site.primary_failed(&service, hold.term());
+                }
+                return Err(lost);
+            };
+            if let Some(hold) = &seat.hold {
+                site.note_primary(&service, hold.term(), sent_at, &answer);
+                let authority = hold.is_current() && site.world().has_lease();
+                if step == Step::Commit && self.wrote && answer.outcome.is_ok() {
+                    if !authority {
+                        return Err(lost);
+                    }
+                    if let Some(position) = answer.position {
+                        site.board.acknowledged(&service, position);
+                    }
+                }
+            }
+            let busy = matches!(&answer.outcome, Err((Code::Busy, _)));
+            if busy && answer.status == Status::Open {
+                sleep(AGAIN).await;
+                continue;
+            }
+            return Ok(answer);
+        }
+    }
+}
+
+impl Drop for Transaction {
+    fn drop(&mut self) {
+        self.abandon();
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -0,0 +1,114 @@
+//! Writes outside a transaction: at the primary, never twice.
+
+use std::{sync::Arc, time::Duration};
+
+use hemlockcrank_core::Name;
+use tokio::time::sleep;
+
+use super::{
+    Code, Query, Site,
+    admission::Refusal,
+    link::Answer,
+    read::{Choice, Miss, Work},
+};
+use crate::{clock::now_ms, control::World};
+
+/// Pause before a statement that did not run is tried again.
+const AGAIN: Duration = Duration::from_millis(15);
+
+impl Site {
+    /// The primary of a service, with the right to use it.
+    pub(crate) fn primary(&self, world: &World, service: &Name) -> Option<Choice> {
+        let group = world.state.groups.get(service)?;
+        let lead = group.lead.as_ref()?;
+        let (name, member) = group.primary()?;
+        if !world.state.groups.takes_work(member) {
+            return None;
+        }
+        let hold = self.board.hold(service, lead.term)?;
+        Some(Choice {
+            name: name.clone(),
+            pool: self.pool(&world.state, service, name, member),
+            after: None,
+            hold: Some(hold),
+        })
+    }
+
+    /// Runs a write. A refusal says that it has not run, except for [`Code::InDoubt`].
+    pub(crate) async fn write(self: &Arc<Self>, work: &Work) -> Result<Answer, Refusal> {
+        let service = &work.operation.route.service;
+        loop {
+            let now = now_ms();
+            let world = self.world();
+            work.operation.is_permitted(&world)?;
+            let Some(choice) = self.primary(&world, service) else {
+                if now >= work.operation.patience() {
+                    return Err(Refusal::new(Code::Busy, "no primary"));
+                }
+                sleep(AGAIN).await;
+                continue;
+            };
+            match self.try_write(work, &choice).await {
+                Ok(answer) => return Ok(answer),
+                Err(Miss::Failed(answer)) => return Ok(answer),
+                Err(Miss::Refused(refusal)) => return Err(refusal),
+                Err(Miss::Lost) => {
+                    return Err(Refusal::new(Code::InDoubt, "no answer from the primary"));
+                }
+                Err(Miss::NotRun) if now_ms() >= work.operation.patience() => {
+                    return Err(Refusal::new(Code::Busy, "the primary has no place"));
+                }
+                Err(Miss::NotRun) => sleep(AGAIN).await,
+            }
+        }
+    }
+
+    async fn try_write(self: &Arc<Self>, work: &Work, choice: &Choice) -> Result<Answer, Miss> {
+        let service = &work.operation.route.service;
+        let patience = work.operation.patience().max(now_ms() + 1);
+        let limit = Duration::from_millis(patience - now_ms());
+        let _busy = choice.pool.busy();
+        let mut loan = match choice.pool.acquire(work.wish(), limit).await {
+            Ok(loan) => loan,
+            Err(error) => {
+                self.missed(choice, service, error);
+                return Err(Miss::NotRun);
+            }
+        };
+        let Some(hold) = choice.hold.as_ref().filter(|hold| hold.is_current()) else {
+            return Err(Miss::NotRun);
+        };
+        let query = Query {
+            id: work.id.clone(),
+            text: work.text.clone(),
+            after: None,
+        };
+        let outcome = self.exchange(&mut loan, work, &query).await;
+        let now = now_ms();
+        let (sent_at, answer) = match outcome {
+            Ok(done) => done,
+            Err(miss) => {
+                if matches!(miss, Miss::Lost) {
+                    choice.pool.note(|load| load.fail(now));
+                    self.primary_failed(service, hold.term());
+                }
+                return Err(miss);
+            }
+        };
+        choice
+            .pool
+            .note(|load| load.succeed(now.saturating_sub(sent_at)));
+        self.note_primary(service, hold.term(), sent_at, &answer);
+        match &answer.outcome {
+            Ok(_) if !hold.is_current() || !self.world().has_lease() => Err(Miss::Lost),
+            Ok(_) => {
+                if let Some(position) = answer.position {
+                    self.board.acknowledged(service, position);
+                }
+                Ok(answer)
+            }
+            Err((code, _)) if code.is_not_run() => Err(Miss::NotRun),
+            Err(_) => Err(Miss::Failed(answer)),
+        }
+    }
+}
--- a/crates/hemlockcrank/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -50,6 +50,14 @@
     ChangeAccepted = 220,
     /// A change to a record was refused.
     ChangeRefused = 221,
+    /// A whole configuration is in force.
+    CatalogInForce = 222,
+    /// A whole configuration was refused.
+    CatalogRefused = 223,
+    /// Groups or zones were changed.
+    GroupChanged = 224,
+    /// An announcement names no member to use.
+    NoticeRefused = 232,
     /// A member of a database was announced.
     MemberAnnounced = 230,
     /// A workspace was placed on a database.
@@ -64,10 +72,20 @@
     PromotionAbandoned = 303,
     /// A member was told to follow the present primary.
     MemberFollows = 304,
+    /// A member answered the control leader, or did not.
+    MemberAnswered = 310,
+    /// The control leader asks for a change of primary.
+    PromotionAsked = 311,
+    /// The call for a change of primary was answered, or not.
+    PromotionAnswered = 312,
+    /// This host has let go of a primary that is being replaced.
+    PrimaryReleased = 313,
     /// A caller was refused at the start of its connection.
     CallerRefused = 400,
     /// A caller's key was withdrawn while it was connected.
     KeyWithdrawn = 401,
+    /// A caller sent what is no message.
+    CallerMalformed = 402,
     /// A statement was refused and not run.
     NotRun = 410,
     /// The outcome of a write is unknown.
@@ -80,6 +98,8 @@
     ConnectionSilent = 420,
     /// A database connection was refused or failed.
     ConnectionFailed = 421,
+    /// Settings were read again.
+    Reloaded = 103,
     /// A task of the daemon ended by a fault in the program.
     Fault = 900,
 }
@@ -129,7 +149,7 @@
         let (number, name) = (event.number(), event.name());
         match event {
             Event::Fault => tracing::error!(event = number, host = %self.host, "{name} {shown}"),
-            Event::NotRun | Event::ReadRetried | Event::MemberFollows => {
+            Event::ReadRetried | Event::MemberFollows => {
                 tracing::debug!(event = number, host = %self.host, "{name} {shown}");
             }
             _ => tracing::info!(event = number, host = %self.host, "{name} {shown}"),
--- a/crates/hemlockcrank/src/lib.rs
+++ b/crates/hemlockcrank_host/src/lib.rs
@@ -7,7 +7,7 @@
 //! files.
 //!
 //! ```no_run
-//! use hemlockcrank::{Daemon, Settings};
+//! use hemlockcrank_host::{Daemon, Settings};
 //!
 //! # async fn run() -> miette::Result<()> {
 //! let settings = Settings::load("host.json".as_ref()).map_err(|error| *error)?;
@@ -22,6 +22,7 @@
 pub mod context;
 pub mod control;
 mod daemon;
+pub mod engine;
 pub mod event;
 pub mod http;
 pub mod journal;
@@ -35,5 +36,5 @@
 pub mod upstream;
 mod watcher;
 
-pub use daemon::{Daemon, DaemonError};
+pub use daemon::{Daemon, DaemonError, Faces};
 pub use settings::Settings;
--- a/crates/hemlockcrank/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -89,10 +89,16 @@
     /// Keeps tenures and unused tokens in order, until dropped.
     pub async fn run(self: Arc<Self>) {
         let mut watch = self.control.watch();
+        let mut opened = World::default();
         loop {
             let world = watch.borrow_and_update().clone();
             let host = &self.control.host().name;
             lock(&self.tenures).note(now_ms(), world.state.index, &world.state.view, host);
+            let same_view = Arc::ptr_eq(&opened.state.view, &world.state.view);
+            if !same_view || !Arc::ptr_eq(&opened.state.catalog, &world.state.catalog) {
+                self.open_owned(&world);
+                opened = World::clone(&world);
+            }
             let sweep = if self.give_back_unused(&world) {
                 SWEEP
             } else {
@@ -194,7 +200,7 @@
     ) -> Answer {
         let world = self.control.world();
         let owns = world.state.view.owner(workspace) == Some(&self.control.host().name);
-        let Some(rate) = world.state.records.rate(workspace) else {
+        let Some(rate) = world.state.rate(workspace) else {
             return Answer::Closed;
         };
         if !owns || !world.has_lease() {
@@ -230,6 +236,23 @@
         Some(bucket.hand_over(now_ms()))
     }
 
+    /// Starts the buckets that this host has come to own, before anybody asks for tokens.
+    fn open_owned(self: &Arc<Self>, world: &Arc<World>) {
+        let host = &self.control.host().name;
+        for workspace in world.state.catalog.limited() {
+            let owned = world.state.view.owner(workspace) == Some(host);
+            if !owned || lock(&self.buckets).contains_key(workspace) {
+                continue;
+            }
+            let Some(rate) = world.state.rate(workspace) else {
+                continue;
+            };
+            let (limits, world, workspace) =
+                (Arc::clone(self), Arc::clone(world), workspace.clone());
+            tokio::spawn(async move { limits.open_bucket(&world, &workspace, rate).await });
+        }
+    }
+
     /// Starts the bucket of a workspace: full for a new rate, from the old owner where there is one,
     /// else empty from the moment at which nobody else could lend any more.
     async fn open_bucket(&self, world: &World, workspace: &Name, rate: Rate) {
--- a/crates/hemlockcrank/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -63,9 +63,9 @@
         self.writes.add(1, &[]);
     }
 
-    /// Counts a refusal by its SQLSTATE.
-    pub fn refusal(&self, sqlstate: &'static str) {
-        self.refusals.add(1, &[KeyValue::new("sqlstate", sqlstate)]);
+    /// Counts a refusal by its SQLSTATE, or by its reason.
+    pub fn refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
     /// Counts a write whose outcome stayed unknown.
--- a/crates/hemlockcrank/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -70,8 +70,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
-    /// Callers, in the PostgreSQL protocol.
-    pub caller: SocketAddr,
+    /// Callers; hosts without it serve control alone.
+    #[serde(default)]
+    pub caller: Option<SocketAddr>,
     /// Other hosts of the system.
     pub peer: SocketAddr,
     /// Operators, the platform, the balancer and metrics, in HTTP.
@@ -160,6 +161,21 @@
     }
 }
 
+/// Faces of a platform of its own.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Operators and members, on hosts that serve them.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
+    /// The balancer's question, on hosts that serve callers.
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
+    /// Where changes of primary are asked for.
+    #[serde(default)]
+    pub promotions: Option<SocketAddr>,
+}
+
 /// Settings of one host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -176,10 +192,21 @@
     /// Other hosts to begin with; later ones are learnt.
     #[serde(default)]
     pub peers: Vec<Peer>,
+    /// More hosts to begin with, each called by its IP number: only that part of the address counts, the
+    /// port is that of the own peer address.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the hosts of `seeds` form the control group the first time.
+    #[serde(default)]
+    pub found_from_seeds: bool,
+    /// Faces of a platform of its own, in place of PostgreSQL.
+    #[serde(default)]
+    pub platform: Option<Platform>,
     /// Folder for control state, on hosts with a disk.
     #[serde(default)]
     pub data_dir: Option<PathBuf>,
     /// Hosts that form the control group the first time.
+    #[serde(default)]
     pub bootstrap: Vec<Name>,
     /// Secrets.
     pub secrets: Secrets,
@@ -215,13 +242,14 @@
     ///
     /// [`SettingsError`] with the place at fault.
     pub fn parse(name: &str, text: &str) -> Result<Self, Box<SettingsError>> {
-        let settings: Self = serde_json::from_str(text).map_err(|error| {
+        let mut settings: Self = serde_json::from_str(text).map_err(|error| {
             Box::new(SettingsError::Malformed {
                 problem: error.to_string().into(),
                 place: SourceOffset::from_location(text, error.line(), error.column()).into(),
                 source_code: NamedSource::new(name, text.to_owned()),
             })
         })?;
+        settings.take_seeds();
         settings.check(name, text)?;
         Ok(settings)
     }
@@ -231,6 +259,23 @@
         self.advertise_peer.unwrap_or(self.listen.peer)
     }
 
+    /// Lists the seeds as peers, named by their IP numbers.
+    fn take_seeds(&mut self) {
+        let port = self.listen.peer.port();
+        let mut names = BTreeSet::new();
+        for seed in &self.seeds {
+            let host = Name::from(seed.ip().to_string());
+            names.insert(host.clone());
+            if host != self.host && self.peers.iter().all(|peer| peer.host != host) {
+                let address = SocketAddr::new(seed.ip(), port);
+                self.peers.push(Peer { host, address });
+            }
+        }
+        if self.found_from_seeds {
+            self.bootstrap = names.into_iter().collect();
+        }
+    }
+
     fn check(&self, name: &str, text: &str) -> Result<(), Box<SettingsError>> {
         let fail = |field: &'static str, problem: String, hint: &str| {
             let last = field.rsplit('.').next().unwrap_or(field);
@@ -250,12 +295,17 @@
         if self.zone.is_empty() {
             return fail("zone", "is empty".into(), "name the availability zone");
         }
-        let listen = [self.listen.caller, self.listen.peer, self.listen.operator];
+        let listen = [
+            Some(self.listen.peer),
+            Some(self.listen.operator),
+            self.listen.caller,
+        ];
+        let listen: Vec<SocketAddr> = listen.into_iter().flatten().collect();
         if listen.iter().collect::<BTreeSet<_>>().len() < listen.len() {
             let hint = "give callers, peers and operators an address each";
             return fail("listen", "two addresses are the same".into(), hint);
         }
-        if self.bootstrap.is_empty() {
+        if self.bootstrap.is_empty() && self.seeds.is_empty() {
             let hint = "list the hosts that form the control group the first time, 3 or 5";
             return fail("bootstrap", "is empty".into(), hint);
         }
--- a/crates/hemlockcrank/tests/site/fixture.rs
+++ b/crates/hemlockcrank_host/tests/site/fixture.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hemlockcrank::settings::Limits;
+use hemlockcrank_host::settings::Limits;
 use hemlockcrank_standin::{GroupSettings, Site, SiteSettings};
 use tokio_postgres::{Client, Error};
 
--- a/crates/hemlockcrank/tests/site/protocol.rs
+++ b/crates/hemlockcrank_host/tests/site/protocol.rs
@@ -201,7 +201,7 @@
         &oversized,
     ];
     let faces = [
-        site.settings[0].listen.caller,
+        site.settings[0].listen.caller.expect("a caller face"),
         site.settings[0].listen.peer,
         site.settings[0].listen.operator,
     ];
--- a/crates/hemlockcrank/tests/surfaces.rs
+++ b/crates/hemlockcrank_host/tests/surfaces.rs
@@ -2,17 +2,17 @@
 
 use std::{collections::BTreeMap, path::PathBuf};
 
-use hemlockcrank::{
-    Settings,
-    event::Event,
-    journal::{Journal, JournalError},
-    settings::SettingsError,
-};
 use hemlockcrank_core::{
     Name,
     consensus::{Data, Entry, Payload, Persist, Saved},
     record::{Action, Change, Digest, Id, Kind, Outcome, Store},
 };
+use hemlockcrank_host::{
+    Settings,
+    event::Event,
+    journal::{Journal, JournalError},
+    settings::SettingsError,
+};
 use hemlockcrank_standin::fresh_folder;
 use rstest::rstest;
 use strum::IntoEnumIterator;
--- a/crates/hemlockcrank_standin/src/server.rs
+++ b/crates/hemlockcrank_standin/src/server.rs
@@ -11,8 +11,8 @@
 };
 
 use bytes::{BufMut, Bytes, BytesMut};
-use hemlockcrank::pg::{Frame, Opening, PgError, Severity, Stream, error_response};
 use hemlockcrank_core::directory::Role;
+use hemlockcrank_host::pg::{Frame, Opening, PgError, Severity, Stream, error_response};
 use pgwire::messages::{
     PgWireFrontendMessage,
     data::{DataRow, FieldDescription, RowDescription},
--- a/crates/hemlockcrank_standin/src/server/extended.rs
+++ b/crates/hemlockcrank_standin/src/server/extended.rs
@@ -1,6 +1,6 @@
 //! Extended query: parse, bind, describe, execute, close.
 
-use hemlockcrank::pg::PgError;
+use hemlockcrank_host::pg::PgError;
 use pgwire::messages::{
     PgWireFrontendMessage,
     data::{NoData, ParameterDescription},
--- a/crates/hemlockcrank_standin/src/site.rs
+++ b/crates/hemlockcrank_standin/src/site.rs
@@ -8,11 +8,11 @@
     time::{Duration, Instant},
 };
 
-use hemlockcrank::{
+use hemlockcrank_core::{Name, record::Kind};
+use hemlockcrank_host::{
     Daemon, DaemonError, Settings,
     settings::{Limits, Listen, LogFormat, Peer, Secrets, Upstream},
 };
-use hemlockcrank_core::{Name, record::Kind};
 use hemlockctl::{Client, ClientError};
 use thiserror::Error;
 use tokio_postgres::NoTls;
@@ -196,7 +196,7 @@
 
     /// Address of a host's face towards callers.
     pub fn caller_address(&self, index: usize) -> SocketAddr {
-        self.settings[index].listen.caller
+        self.settings[index].listen.caller.expect("a caller face")
     }
 
     /// Connection string for a workspace on a host.
@@ -361,6 +361,9 @@
         listen: listens[index].clone(),
         advertise_peer: None,
         peers: peers.iter().filter(|p| p.host != *name).cloned().collect(),
+        seeds: Vec::new(),
+        found_from_seeds: false,
+        platform: None,
         data_dir: voters.contains(&index).then(|| folder.join(&**name)),
         bootstrap: voters.iter().map(|index| names[*index].clone()).collect(),
         secrets: Secrets {
@@ -418,7 +421,7 @@
     let held = [(); 3].map(|()| TcpListener::bind((ip, 0)));
     let [caller, peer, operator] = held;
     Ok(Listen {
-        caller: caller?.local_addr()?,
+        caller: Some(caller?.local_addr()?),
         peer: peer?.local_addr()?,
         operator: operator?.local_addr()?,
     })
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -9,6 +9,8 @@
     consensus::{Config, Envelope, Id},
     failover::Report,
     membership::Host,
+    session::Position,
+    sight::Sight,
     state::{Command, Reply, State},
 };
 use serde::{Deserialize, Serialize};
@@ -55,6 +57,8 @@
     Events,
     /// Asks the leader how far every live host has come.
     Progress,
+    /// Asks the leader, with its leadership confirmed, for the index of the newest committed entry.
+    Newest,
     /// Asks the leader for a planned change of primary.
     SwitchOver {
         /// Database.
@@ -84,6 +88,34 @@
     pub applied: u64,
     /// What it says of the databases that it watches.
     pub reports: Vec<Report>,
+    /// Whether it serves callers.
+    pub serves: bool,
+    /// What it says of the primaries that it uses.
+    pub sights: Vec<Sight>,
+}
+
+/// The leader's clock and what it knows of primaries' positions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bearings {
+    /// Term of the leader in the control group.
+    pub leadership: u64,
+    /// Leader's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// Positions by service.
+    pub heights: Vec<Height>,
+}
+
+/// A position that no acknowledged commit was past, at a time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Height {
+    /// Service.
+    pub service: Name,
+    /// Term of its primary.
+    pub term: u64,
+    /// Position.
+    pub position: Position,
+    /// How long ago, when the answer was given, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// What happened at one log index.
@@ -106,6 +138,8 @@
         index: u64,
         /// Time left of the parent's authority, in milliseconds.
         remaining_ms: u64,
+        /// Clock and positions.
+        bearings: Bearings,
     },
     /// The whole state, for an asker that is far behind.
     State {
@@ -113,6 +147,8 @@
         state: Box<State>,
         /// Time left of the parent's authority, in milliseconds.
         remaining_ms: u64,
+        /// Clock and positions.
+        bearings: Bearings,
     },
     /// The receiver is no parent now.
     NotLeader {
@@ -188,6 +224,8 @@
     HandOver(Option<Handover>),
     /// Answer to [`Request::Progress`]; `None` when the receiver does not lead.
     Progress(Option<Vec<Progress>>),
+    /// Answer to [`Request::Newest`]; `None` when the receiver does not lead.
+    Newest(Option<u64>),
     /// Answer to [`Request::Events`].
     Events(Vec<EventRecord>),
     /// The receiver is stopping or cannot answer now; nothing was done.
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -17,7 +17,8 @@
 mod server;
 
 pub use call::{
-    EventRecord, Follow, Formation, Frame, News, Progress, ProposeReply, Request, Response, Update,
+    Bearings, EventRecord, Follow, Formation, Frame, Height, News, Progress, ProposeReply, Request,
+    Response, Update,
 };
 pub use client::{CallError, Client};
 pub use codec::{CodecError, decode, encode};
--- a/crates/hemlockctl/src/client.rs
+++ b/crates/hemlockctl/src/client.rs
@@ -5,17 +5,17 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use hemlockcrank::{
+use hemlockcrank_core::{
+    Name,
+    record::{Action, Kind, Outcome, Record, StoreError},
+};
+use hemlockcrank_host::{
     control::Status,
     http::{
         ChangeRequest, DatabaseView, ErrorBody, ForceView, RecordView, SwitchoverRequest,
         TimelineView,
     },
 };
-use hemlockcrank_core::{
-    Name,
-    record::{Action, Kind, Outcome, Record, StoreError},
-};
 use miette::Diagnostic;
 use reqwest::{RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
--- a/crates/hemlockctl/src/failure.rs
+++ b/crates/hemlockctl/src/failure.rs
@@ -2,8 +2,8 @@
 
 use std::path::PathBuf;
 
-use hemlockcrank::settings::SettingsError;
 use hemlockcrank_core::record::Invalid;
+use hemlockcrank_host::settings::SettingsError;
 use hemlockctl::ClientError;
 use miette::{Diagnostic, NamedSource, SourceSpan};
 use thiserror::Error;
--- a/crates/hemlockctl/src/main.rs
+++ b/crates/hemlockctl/src/main.rs
@@ -8,8 +8,8 @@
 
 use cli::{Hemlockctl, HemlockctlCmd};
 use failure::{Failure, RecordFailure};
-use hemlockcrank::Settings;
 use hemlockcrank_core::record::{Action, Body, Digest, Kind};
+use hemlockcrank_host::Settings;
 use hemlockctl::{Accepted, Client};
 use miette::{NamedSource, Report, SourceOffset};
 use show::{say, say_json, warn};
@@ -164,7 +164,7 @@
     let Accepted { revision, index } = accepted;
     if wait {
         let mut last = usize::MAX;
-        let progress = |view: &hemlockcrank::http::ForceView| {
+        let progress = |view: &hemlockcrank_host::http::ForceView| {
             if view.waiting.len() != last && !view.in_force {
                 last = view.waiting.len();
                 warn(&format!("waiting for {}", view.waiting.join(", ")));
--- a/crates/hemlockctl/src/show.rs
+++ b/crates/hemlockctl/src/show.rs
@@ -1,6 +1,6 @@
 //! Answers for people, or as JSON.
 
-use hemlockcrank::{
+use hemlockcrank_host::{
     control::Status,
     http::{DatabaseView, RecordView, TimelineView},
 };
