Leader does not wait for its own release; a part of each rate is spent without its owner

Cause 1: the leader counted itself as a serving host that never released a primary, so no change of primary was ever finished. Cause 2: an owner of a rate that is frozen or cut off left all hosts without tokens. Ruled out: slow promotions (promoted and leading after 0.7 s in the log).

--- a/crates/hemlockcrank_core/src/allotment.rs
+++ b/crates/hemlockcrank_core/src/allotment.rs
@@ -15,9 +15,11 @@
 
 mod bucket;
 mod purse;
+mod share;
 
 pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
 pub use purse::{Ask, Purse, Take};
+pub use share::{Share, lent};
 
 /// Life of a loan for the borrower, counted from when it asked, in milliseconds.
 pub const LOAN_MS: u64 = 400;
--- a/crates/hemlockcrank_core/src/state.rs
+++ b/crates/hemlockcrank_core/src/state.rs
@@ -11,7 +11,7 @@
     group::{Edit, Groups},
     membership::{Host, View},
     placement::{Place, Placements},
-    record::{Change, Outcome, Rate, Store},
+    record::{Change, Outcome, Store},
     session::Position,
 };
 
@@ -93,12 +93,6 @@
 }
 
 impl State {
-    /// Rate of a workspace, from the configuration that was submitted whole or from its record.
-    pub fn rate(&self, workspace: &str) -> Option<Rate> {
-        let whole = self.catalog.rate(workspace);
-        whole.or_else(|| self.records.rate(workspace))
-    }
-
     /// Applies the entry at `index`; entries already applied are skipped.
     pub fn apply(&mut self, index: u64, command: Option<&Command>) -> Reply {
         if index <= self.index {
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -313,6 +313,10 @@
         };
         let own = duties.heard(now, &self.state, &self.host, self.state.index);
         duties.reports(now, &self.host.name, self.reports.clone());
+        duties.serves(&self.host.name, self.settings.listen.caller.is_some());
+        if let Some(steward) = &mut self.steward {
+            steward.sightings.note(now, &self.host.name, self.board.sights(now));
+        }
         let mut commands = duties.tick(now, &self.state);
         commands.extend(own.filter(|_| !self.draining));
         for command in commands {
--- a/crates/hemlockcrank_host/src/engine/site.rs
+++ b/crates/hemlockcrank_host/src/engine/site.rs
@@ -32,6 +32,14 @@
 /// Longest wait for statements under way when it does not, in milliseconds.
 const RELEASE_MS: u64 = 100;
 
+/// A change of primary that is under way, as this host follows it.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    change: Change,
+    since: u64,
+    released: bool,
+}
+
 /// Everything that a session needs.
 #[derive(Debug)]
 pub struct Site {
@@ -128,13 +136,13 @@
     /// Follows the committed state: terms, changes of primary, members that left.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut watch = self.control.watch();
-        let mut pending: HashMap<Name, (Change, u64)> = HashMap::new();
+        let mut pending: HashMap<Name, Pending> = HashMap::new();
         loop {
             let world = watch.borrow_and_update().clone();
             self.follow(&world, &mut pending);
             self.release(&mut pending);
             let look = async {
-                if pending.is_empty() {
+                if pending.values().all(|pending| pending.released) {
                     std::future::pending::<()>().await;
                 }
                 sleep(RELEASE_LOOK).await;
@@ -150,7 +158,7 @@
         }
     }
 
-    fn follow(&self, world: &World, pending: &mut HashMap<Name, (Change, u64)>) {
+    fn follow(&self, world: &World, pending: &mut HashMap<Name, Pending>) {
         let state = &world.state;
         for (service, group) in state.groups.iter() {
             let term = group.lead.as_ref().map_or(0, |lead| lead.term);
@@ -159,9 +167,14 @@
                 .grant(service, term, change.map(|change| change.index));
             match change {
                 Some(change) => {
-                    let known = pending.get(service).map(|(known, _)| known.index);
+                    let known = pending.get(service).map(|known| known.change.index);
                     if known != Some(change.index) {
-                        pending.insert(service.clone(), (change, now_ms()));
+                        let fresh = Pending {
+                            change,
+                            since: now_ms(),
+                            released: false,
+                        };
+                        pending.insert(service.clone(), fresh);
                     }
                 }
                 None => {
@@ -182,18 +195,19 @@
     }
 
     /// Releases primaries that are being replaced; those done stay noted until the change is over.
-    fn release(&self, pending: &mut HashMap<Name, (Change, u64)>) {
+    fn release(&self, pending: &mut HashMap<Name, Pending>) {
         let now = now_ms();
         let mut told = false;
-        pending.retain(|service, (change, since)| {
+        for (service, pending) in pending.iter_mut().filter(|(_, pending)| !pending.released) {
+            let change = pending.change;
             let limit = if change.planned {
                 PLANNED_RELEASE_MS
             } else {
                 RELEASE_MS
             };
-            let late = now >= *since + limit;
-            let released = self.board.release(service, change.index, late);
-            if released {
+            let late = now >= pending.since + limit;
+            pending.released = self.board.release(service, change.index, late);
+            if pending.released {
                 told = true;
                 let fields: [(&str, &dyn std::fmt::Display); 3] = [
                     ("service", service),
@@ -202,8 +216,7 @@
                 ];
                 self.timeline.emit(Event::PrimaryReleased, &fields);
             }
-            !released
-        });
+        }
         if told {
             self.control.sights();
         }
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -17,7 +17,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Take},
+    allotment::{Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Share, Take, lent},
     lease,
     record::Rate,
 };
@@ -59,6 +59,7 @@
 
 #[derive(Debug, Default)]
 struct Borrower {
+    share: Mutex<Share>,
     purse: Mutex<Purse>,
     waiting: AtomicU64,
     answered: Notify,
@@ -126,6 +127,9 @@
         loop {
             let answered = borrower.answered.notified();
             let now = now_ms();
+            if self.take_share(&borrower, workspace, now) {
+                return Ok(());
+            }
             let ask = {
                 let mut purse = lock(&borrower.purse);
                 if purse.take(now) == Take::Admitted {
@@ -164,6 +168,17 @@
         }
     }
 
+    /// Spends a token of the part of the rate that needs no owner.
+    fn take_share(&self, borrower: &Borrower, workspace: &Name, now: u64) -> bool {
+        let world = self.control.world();
+        let Some(rate) = world.state.catalog.rate(workspace) else {
+            return false;
+        };
+        let mut share = lock(&borrower.share);
+        share.set(now, rate, serving_hosts(&world));
+        share.take(now)
+    }
+
     /// Asks the owner, which may be this host.
     async fn borrow(
         self: &Arc<Self>,
@@ -200,7 +215,7 @@
     ) -> Answer {
         let world = self.control.world();
         let owns = world.state.view.owner(workspace) == Some(&self.control.host().name);
-        let Some(rate) = world.state.rate(workspace) else {
+        let Some(rate) = lent_rate(&world, workspace) else {
             return Answer::Closed;
         };
         if !owns || !world.has_lease() {
@@ -244,7 +259,7 @@
             if !owned || lock(&self.buckets).contains_key(workspace) {
                 continue;
             }
-            let Some(rate) = world.state.rate(workspace) else {
+            let Some(rate) = lent_rate(world, workspace) else {
                 continue;
             };
             let (limits, world, workspace) =
@@ -334,6 +349,20 @@
     }
 }
 
+/// Hosts between which a part of each rate is divided.
+fn serving_hosts(world: &World) -> u64 {
+    let serving = world.state.view.iter().filter(|host| host.control.is_none());
+    serving.count() as u64
+}
+
+/// Rate that the owner lends: all of it, where it comes from a record.
+fn lent_rate(world: &World, workspace: &str) -> Option<Rate> {
+    match world.state.catalog.rate(workspace) {
+        Some(rate) => Some(lent(rate, serving_hosts(world))),
+        None => world.state.records.rate(workspace),
+    }
+}
+
 /// Counts a waiting task while it waits.
 struct Counted<'a>(&'a AtomicU64);
 
