A primary is used under the lease alone, on open routes too

Ruled out: floors (the read carried none), a release that was never reported (the host was cut off). Change: the lease says who is primary; without it a host reads replicas past a floor or refuses.

--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -41,14 +41,15 @@
         self.arrived + (self.route.objective_ms / PATIENCE_PART).max(1)
     }
 
-    /// Whether the operation may still be given to a member: asked right before it is sent.
-    pub(crate) fn is_permitted(&self, world: &World) -> Result<(), Refusal> {
+    /// Whether the operation may still be given to a member: asked right before it is sent. The lease
+    /// says who is primary, so at a `primary` open routes need it too.
+    pub(crate) fn is_permitted(&self, world: &World, primary: bool) -> Result<(), Refusal> {
+        if (primary || !self.route.open) && !world.has_lease() {
+            return Err(Refusal::new(Code::Busy, "no authority"));
+        }
         if self.route.open {
             return Ok(());
         }
-        if !world.has_lease() {
-            return Err(Refusal::new(Code::Busy, "no authority"));
-        }
         let holder = self
             .key
             .as_ref()
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -101,10 +101,9 @@
         let mut candidates = Vec::new();
         for (name, member) in &group.members {
             let primary = *name == lead.member;
-            let barred = if primary {
-                group.change.is_some()
-            } else {
-                floor.is_none()
+            let barred = match primary {
+                true => group.change.is_some() || !world.has_lease(),
+                false => floor.is_none(),
             };
             if barred || tried.contains(name) || !world.state.groups.takes_work(member) {
                 continue;
@@ -158,7 +157,7 @@
                 return Err(Refusal::new(Code::Busy, "no result in time"));
             }
             let world = self.world();
-            work.operation.is_permitted(&world)?;
+            work.operation.is_permitted(&world, false)?;
             let choice = self.choose(&world, &work.operation, work.watermark, &tried);
             let Some(choice) = choice.filter(|_| attempts < MAX_ATTEMPTS) else {
                 if running.is_empty() {
@@ -220,7 +219,7 @@
             text: work.text.clone(),
             after: choice.after,
         };
-        let outcome = self.exchange(&mut loan, &work, &query).await;
+        let outcome = self.exchange(&mut loan, &work, &query, choice.hold.as_ref()).await;
         let now = now_ms();
         match outcome {
             Ok((sent_at, answer)) => {
@@ -281,6 +280,7 @@
         loan: &mut Loan,
         work: &Work,
         query: &Query,
+        hold: Option<&Hold>,
     ) -> Result<(u64, Answer), Miss> {
         let left = work.left(now_ms());
         let Some(link) = loan.link() else {
@@ -296,9 +296,12 @@
                 return Err(Miss::NotRun);
             }
         }
-        if let Err(refusal) = work.operation.is_permitted(&self.world()) {
+        if let Err(refusal) = work.operation.is_permitted(&self.world(), hold.is_some()) {
             return Err(Miss::Refused(refusal));
         }
+        if hold.is_some_and(|hold| !hold.is_current()) {
+            return Err(Miss::NotRun);
+        }
         let sent_at = now_ms();
         let Some(link) = loan.link() else {
             return Err(Miss::NotRun);
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -121,9 +121,10 @@
         loop {
             let now = now_ms();
             let world = site.world();
-            self.operation.is_permitted(&world)?;
             let service = &self.operation.route.service;
-            let choice = if self.read && self.operation.route.freshness != Freshness::Primary {
+            let primary = !self.read || self.operation.route.freshness == Freshness::Primary;
+            self.operation.is_permitted(&world, primary)?;
+            let choice = if !primary {
                 site.choose(&world, &self.operation, self.watermark, &tried)
             } else {
                 site.primary(&world, service)
@@ -133,7 +134,7 @@
                     tried.push(choice.name.clone());
                     match self.sit(site, work, choice).await {
                         Some(seat) => return Ok(seat),
-                        None => self.operation.is_permitted(&site.world())?,
+                        None => self.operation.is_permitted(&site.world(), primary)?,
                     }
                 }
                 None => tried.clear(),
@@ -232,7 +233,7 @@
                     ));
                 }
             }
-            self.operation.is_permitted(&site.world())?;
+            self.operation.is_permitted(&site.world(), seat.hold.is_some())?;
             let Some(link) = seat.loan.link() else {
                 return Err(Refusal::new(Code::Aborted, "the member was lost"));
             };
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -40,7 +40,7 @@
         loop {
             let now = now_ms();
             let world = self.world();
-            work.operation.is_permitted(&world)?;
+            work.operation.is_permitted(&world, true)?;
             let Some(choice) = self.primary(&world, service) else {
                 if now >= work.operation.patience() {
                     return Err(Refusal::new(Code::Busy, "no primary"));
@@ -75,7 +75,7 @@
                 return Err(Miss::NotRun);
             }
         };
-        let Some(hold) = choice.hold.as_ref().filter(|hold| hold.is_current()) else {
+        let Some(hold) = choice.hold.as_ref() else {
             return Err(Miss::NotRun);
         };
         let query = Query {
@@ -83,7 +83,7 @@
             text: work.text.clone(),
             after: None,
         };
-        let outcome = self.exchange(&mut loan, work, &query).await;
+        let outcome = self.exchange(&mut loan, work, &query, Some(hold)).await;
         let now = now_ms();
         let (sent_at, answer) = match outcome {
             Ok(done) => done,
