--- a/crates/hemlockcrank_core/src/allotment/share.rs
+++ b/crates/hemlockcrank_core/src/allotment/share.rs
@@ -30,7 +30,13 @@
         }
         self.refill(now);
         let divided = is_divided(rate, hosts);
-        let part = |whole: u64| if divided { whole * MILLI * DIVIDED_PERCENT / 100 / hosts } else { 0 };
+        let part = |whole: u64| {
+            if divided {
+                whole * MILLI * DIVIDED_PERCENT / 100 / hosts
+            } else {
+                0
+            }
+        };
         self.rate = Some(rate);
         self.hosts = hosts;
         self.per_second_milli = part(rate.per_second);
--- a/crates/hemlockcrank_core/src/consensus/node.rs
+++ b/crates/hemlockcrank_core/src/consensus/node.rs
@@ -176,7 +176,8 @@
     /// lease built on it are still respected.
     pub fn restore(id: Id, saved: Saved, timing: Timing, now: u64) -> Self {
         let base = saved.snapshot.index;
-        let election_at = now + timing.election_min_ms + timing.election_spread_ms;
+        let spread = spread_of(&id, timing.election_spread_ms);
+        let election_at = now + timing.election_min_ms + spread;
         Self {
             id,
             timing,
@@ -290,7 +291,13 @@
         if self.role == Role::Leader {
             self.tick_leader(now);
         } else if now >= self.election_at {
+            let again = self.role == Role::PreCandidate;
             self.reset_election(now, random);
+            if again {
+                // A pre-vote disturbs nobody, and voters that restarted together refuse the first.
+                let pause = self.timing.election_min_ms / 4;
+                self.election_at = now + pause + random % (pause + 1);
+            }
             if self.log.config().voters.contains(&self.id) {
                 self.campaign(now, true);
             }
@@ -404,3 +411,12 @@
         self.outputs.push(Output::Send(envelope));
     }
 }
+
+/// Part of the spread that an identity starts with, so that voters that restart together differ.
+fn spread_of(id: &Id, spread_ms: u64) -> u64 {
+    let bytes = id.host.bytes().chain(id.incarnation.to_le_bytes());
+    let mixed = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (mixed >> 16) % (spread_ms + 1)
+}
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -30,15 +30,19 @@
 /// Pause before a member is asked again, in milliseconds.
 const ASK_AGAIN_MS: u64 = 250;
 /// Pause before a member that did not answer is asked again, in milliseconds.
-const SILENT_AGAIN_MS: u64 = 400;
+const SILENT_AGAIN_MS: u64 = 150;
 /// Age after which a member's answer says nothing about who is primary, in milliseconds.
 const ROW_FRESH_MS: u64 = 2_000;
 /// Longest wait for an answer of every member before the first primary is taken, in milliseconds.
 const FIRST_WAIT_MS: u64 = 4_000;
 /// Longest wait for the old primary of a planned change, in milliseconds.
 const PLANNED_WAIT_MS: u64 = 2_500;
+/// Longest wait for a member to reach an old primary that has stepped down, in milliseconds.
+const CATCH_UP_MS: u64 = 2_000;
 /// Time without service after which a primary that still answers is replaced, in milliseconds.
 const UNSERVED_MS: u64 = 1_500;
+/// Age after which a paused member may have restarted and forgotten it, in milliseconds.
+const PAUSE_FRESH_MS: u64 = 400;
 /// Unanswered questions after which a suspected primary is replaced.
 const MISSES: u32 = 2;
 /// Pause before the same member is promoted again, in milliseconds.
@@ -61,6 +65,17 @@
     pub held: u64,
 }
 
+/// A member's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// What it is now.
+    Row(Row),
+    /// It runs, and has no slot free for the order.
+    Busy,
+    /// Nothing in time.
+    Nothing,
+}
+
 /// How far the hosts have let go of the old primary.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Settled {
@@ -179,14 +194,22 @@
         }
     }
 
-    /// Takes a member's answer about itself; `None` when there was none in time.
-    pub fn answered(&mut self, now: u64, member: &Name, order: &Order, row: Option<Row>) {
+    /// Takes a member's answer to an order.
+    pub fn answered(&mut self, now: u64, member: &Name, order: &Order, said: Said) {
         let asking = self.asking.entry(member.clone()).or_default();
         asking.waiting = false;
-        let Some(row) = row else {
-            asking.misses += 1;
-            asking.again_at = now + SILENT_AGAIN_MS;
-            return;
+        let row = match said {
+            Said::Row(row) => row,
+            Said::Busy => {
+                asking.misses = 0;
+                asking.again_at = now + ASK_AGAIN_MS;
+                return;
+            }
+            Said::Nothing => {
+                asking.misses += 1;
+                asking.again_at = now + SILENT_AGAIN_MS;
+                return;
+            }
         };
         asking.misses = 0;
         asking.again_at = now + ASK_AGAIN_MS;
@@ -345,7 +368,7 @@
                 orders.extend(self.ask(now, facts.settled.all, order));
             }
         }
-        if let Some(candidate) = self.candidate(facts, term) {
+        if let Some(candidate) = self.candidate(now, facts, term) {
             orders.extend(self.promote(now, candidate));
         }
         orders
@@ -384,7 +407,7 @@
     }
 
     /// A member that surely holds every acknowledged commit.
-    fn candidate(&self, facts: &Facts<'_>, term: u64) -> Option<Name> {
+    fn candidate(&self, now: u64, facts: &Facts<'_>, term: u64) -> Option<Name> {
         let group = facts.group;
         let acknowledged = facts.settled.acknowledged;
         let others = others(group);
@@ -392,7 +415,8 @@
             .iter()
             .filter_map(|name| self.seen.get_key_value(name))
             .collect();
-        let paused = |seen: &Seen| seen.row.held >= term;
+        let paused =
+            |seen: &Seen| seen.row.held >= term && (seen.settled || now < seen.at + PAUSE_FRESH_MS);
         let complete = rows.len() == others.len()
             && rows.iter().all(|(_, seen)| paused(seen))
             && others.len() > facts.sync_replicas as usize
@@ -404,8 +428,9 @@
                 return false;
             }
             match self.stepped {
-                Some(last) => received >= last,
-                None if complete => Some(received) >= best,
+                Some(last) if received >= last => true,
+                _ if complete => Some(received) >= best,
+                Some(_) => false,
                 None => facts.settled.exact && seen.settled,
             }
         };
@@ -418,18 +443,16 @@
         if let Some((name, _)) = ranked {
             return Some((*name).clone());
         }
-        self.old_again(facts)
+        self.old_again(now, facts)
     }
 
     /// The old primary itself, where it stepped down and no other member has reached it in time.
-    fn old_again(&self, facts: &Facts<'_>) -> Option<Name> {
+    fn old_again(&self, now: u64, facts: &Facts<'_>) -> Option<Name> {
         let lead = facts.group.lead.as_ref()?;
         self.stepped?;
-        let lonely = others(facts.group)
-            .iter()
-            .all(|name| !self.seen.contains_key(name));
+        let late = now >= self.began_at + CATCH_UP_MS;
         let known = facts.group.members.contains_key(&lead.member);
-        (lonely && known && facts.settled.all).then(|| lead.member.clone())
+        (late && known && facts.settled.all).then(|| lead.member.clone())
     }
 
     fn promote(&mut self, now: u64, member: Name) -> Option<Order> {
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -14,7 +14,7 @@
     failover::Report,
     membership::Host,
     state::{Command, Reply, State},
-    succession::{Order, Promoted, Row},
+    succession::{Order, Promoted, Said},
 };
 use hemlockcrank_wire::{Follow, Formation, News, ProposeReply, Request, Response, Update};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
@@ -54,6 +54,8 @@
 const RECENT_KEPT: usize = 4_096;
 /// Whole configurations among them.
 const CATALOGS_KEPT: usize = 4;
+/// Longest random addition to an election timeout on a platform of its own, in milliseconds.
+const SITE_SPREAD_MS: u64 = 300;
 /// Silence after which a voter is replaced on a platform of its own, in milliseconds.
 const SITE_SILENT_MS: u64 = 2_500;
 
@@ -76,7 +78,7 @@
     Answered {
         service: Name,
         order: Order,
-        row: Option<Row>,
+        said: Said,
     },
     /// A promotion was answered.
     Promoted {
@@ -230,8 +232,8 @@
             Message::Answered {
                 service,
                 order,
-                row,
-            } => self.answered(&service, &order, row)?,
+                said,
+            } => self.answered(&service, &order, said)?,
             Message::Promoted {
                 service,
                 member,
@@ -315,7 +317,9 @@
         duties.reports(now, &self.host.name, self.reports.clone());
         duties.serves(&self.host.name, self.settings.listen.caller.is_some());
         if let Some(steward) = &mut self.steward {
-            steward.sightings.note(now, &self.host.name, self.board.sights(now));
+            steward
+                .sightings
+                .note(now, &self.host.name, self.board.sights(now));
         }
         let mut commands = duties.tick(now, &self.state);
         commands.extend(own.filter(|_| !self.draining));
@@ -536,6 +540,7 @@
     let mut timing = Timing::default();
     if settings.platform.is_some() {
         timing.silent_ms = SITE_SILENT_MS;
+        timing.election_spread_ms = SITE_SPREAD_MS;
     }
     timing
 }
--- a/crates/hemlockcrank_host/src/control/actor/ask.rs
+++ b/crates/hemlockcrank_host/src/control/actor/ask.rs
@@ -1,12 +1,15 @@
 //! Asking a parent for news, and taking its answer.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use hemlockcrank_core::failover::Report;
+use hemlockcrank_core::{failover::Report, lease};
 use hemlockcrank_wire::{Follow, News, Request, Response};
 
 use super::{Control, Message};
-use crate::{clock::now_ms, peers::CALL_LIMIT};
+use crate::clock::now_ms;
+
+/// Longest wait for news: a parent holds a question for [`lease::RENEW_MS`] at most.
+const NEWS_LIMIT: Duration = Duration::from_millis(lease::RENEW_MS + 400);
 
 impl Control {
     pub(super) fn follow(&mut self, now: u64, urgent: bool) {
@@ -35,7 +38,7 @@
         }
         let (peers, myself) = (self.peers.clone(), self.myself.clone());
         tokio::spawn(async move {
-            let news = match peers.call(address, &request, CALL_LIMIT).await {
+            let news = match peers.call(address, &request, NEWS_LIMIT).await {
                 Ok(Response::News(news)) => Some(news),
                 _ => None,
             };
--- a/crates/hemlockcrank_host/src/control/actor/oversee.rs
+++ b/crates/hemlockcrank_host/src/control/actor/oversee.rs
@@ -6,7 +6,7 @@
     Name,
     consensus::Node,
     state::Command,
-    succession::{Facts, Order, Promoted, Row},
+    succession::{Facts, Order, Promoted, Said},
 };
 use hemlockcrank_wire::{Bearings, Height};
 
@@ -60,7 +60,7 @@
         &mut self,
         service: &Name,
         order: &Order,
-        row: Option<Row>,
+        said: Said,
     ) -> Result<(), JournalError> {
         let now = now_ms();
         let Some(member) = member_of(order) else {
@@ -69,9 +69,9 @@
         let groups = Arc::clone(&self.state.groups);
         if let (Some(steward), Some(group)) = (&mut self.steward, groups.get(service)) {
             let succession = steward.succession(service, group);
-            succession.answered(now, member, order, row);
+            succession.answered(now, member, order, said);
         }
-        let shown = row.map_or_else(|| "none".into(), |row| format!("{row:?}"));
+        let shown = format!("{said:?}");
         let fields: [(&str, &dyn std::fmt::Display); 4] = [
             ("service", service),
             ("member", member),
@@ -180,14 +180,14 @@
         });
         let (myself, service) = (self.myself.clone(), service.clone());
         tokio::spawn(async move {
-            let row = match answer {
+            let said = match answer {
                 Some(answer) => answer.await,
-                None => None,
+                None => Said::Nothing,
             };
             let _ = myself.cast(Message::Answered {
                 service,
                 order,
-                row,
+                said,
             });
         });
     }
--- a/crates/hemlockcrank_host/src/control/steward.rs
+++ b/crates/hemlockcrank_host/src/control/steward.rs
@@ -17,7 +17,7 @@
     Name,
     group::Group,
     sight::Sightings,
-    succession::{Order, Promoted, Row, Succession},
+    succession::{Order, Promoted, Said, Succession},
 };
 
 use crate::clock::now_ms;
@@ -25,7 +25,7 @@
 /// A boxed answer in the making.
 type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 /// Asks a member for itself.
-pub type Ask = dyn Fn(Question) -> Answer<Option<Row>> + Send + Sync;
+pub type Ask = dyn Fn(Question) -> Answer<Said> + Send + Sync;
 /// Asks for a change of primary.
 pub type Promote = dyn Fn(Promotion) -> Answer<Promoted> + Send + Sync;
 
--- a/crates/hemlockcrank_host/src/engine/inquiry.rs
+++ b/crates/hemlockcrank_host/src/engine/inquiry.rs
@@ -4,23 +4,27 @@
 
 use hemlockcrank_core::{
     Name,
-    succession::{Order, Row},
+    succession::{Order, Said},
 };
 use tokio::time::timeout;
 
 use super::{
-    Dialect, Own,
-    link::{Link, Target},
+    Code, Dialect, Own,
+    link::{Link, OpenError, Target},
 };
 use crate::control::Question;
 
 /// Longest wait for a connection, and for the answer on it.
-const LIMIT: Duration = Duration::from_millis(400);
+const LIMIT: Duration = Duration::from_millis(300);
 /// Name under which the proxy itself connects.
 const SELF: &str = "-";
 
 /// Carries out one order and returns what the member then says of itself.
-pub async fn inquire(dialect: Dialect, from: IpAddr, question: Question) -> Option<Row> {
+pub async fn inquire(dialect: Dialect, from: IpAddr, question: Question) -> Said {
+    ask(dialect, from, question).await.unwrap_or(Said::Nothing)
+}
+
+async fn ask(dialect: Dialect, from: IpAddr, question: Question) -> Option<Said> {
     let own = match question.order {
         Order::Look(_) => Own::Look,
         Order::Pause(_, term) => Own::Pause(term),
@@ -34,9 +38,15 @@
         service: question.service,
         member: question.member,
     };
-    let opened = Link::open(dialect, &target, &Name::from(SELF), LIMIT).await;
-    let mut link = opened.ok()?;
+    let mut link = match Link::open(dialect, &target, &Name::from(SELF), LIMIT).await {
+        Ok(link) => link,
+        Err(OpenError::Refused(Code::TooMany | Code::Busy)) => return Some(Said::Busy),
+        Err(_) => return None,
+    };
     let answer = timeout(LIMIT, link.run_own(&[own])).await.ok()?.ok()??;
-    answer.outcome.ok()?;
-    (dialect.read_row)(answer.rows.first()?)
+    match answer.outcome {
+        Ok(_) => (dialect.read_row)(answer.rows.first()?).map(Said::Row),
+        Err((Code::Busy, _)) => Some(Said::Busy),
+        Err(_) => None,
+    }
 }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -219,7 +219,9 @@
             text: work.text.clone(),
             after: choice.after,
         };
-        let outcome = self.exchange(&mut loan, &work, &query, choice.hold.as_ref()).await;
+        let outcome = self
+            .exchange(&mut loan, &work, &query, choice.hold.as_ref())
+            .await;
         let now = now_ms();
         match outcome {
             Ok((sent_at, answer)) => {
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -233,7 +233,8 @@
                     ));
                 }
             }
-            self.operation.is_permitted(&site.world(), seat.hold.is_some())?;
+            self.operation
+                .is_permitted(&site.world(), seat.hold.is_some())?;
             let Some(link) = seat.loan.link() else {
                 return Err(Refusal::new(Code::Aborted, "the member was lost"));
             };
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -17,7 +17,9 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Share, Take, lent},
+    allotment::{
+        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Share, Take, lent,
+    },
     lease,
     record::Rate,
 };
@@ -351,7 +353,11 @@
 
 /// Hosts between which a part of each rate is divided.
 fn serving_hosts(world: &World) -> u64 {
-    let serving = world.state.view.iter().filter(|host| host.control.is_none());
+    let serving = world
+        .state
+        .view
+        .iter()
+        .filter(|host| host.control.is_none());
     serving.count() as u64
 }
 
