--- a/crates/hemlockcrank_core/src/balance.rs
+++ b/crates/hemlockcrank_core/src/balance.rs
@@ -4,18 +4,12 @@
 //! with additions for a longer way, for a connection that has to be opened, and for the primary, whose
 //! slots are wanted by writes.
 
-use crate::session::Position;
-
 /// Addition for a member in another availability zone, in milliseconds.
 const REMOTE_MS: u64 = 2;
 /// Addition for a member without a connection at hand, in milliseconds.
 const OPEN_MS: u64 = 20;
 /// Addition for the primary, in milliseconds.
 const PRIMARY_MS: u64 = 25;
-/// Addition for a member whose log was too short a moment ago, in milliseconds.
-const BEHIND_MS: u64 = 250;
-/// Time for which a member's log position says something about it, in milliseconds.
-const POSITION_MS: u64 = 600;
 /// Expected latency of a member that has not answered yet, in milliseconds.
 const UNKNOWN_MS: u64 = 20;
 /// Weight of the newest latency in the moving average, as one part in this many.
@@ -32,8 +26,6 @@
     latency_us: u64,
     failures: u32,
     paused_until: u64,
-    position: Position,
-    position_at: u64,
 }
 
 impl Load {
@@ -66,17 +58,6 @@
         self.paused_until = now + pause.min(MAX_PAUSE_MS);
     }
 
-    /// The member's log ended at `position`.
-    pub fn reach(&mut self, now: u64, position: Position) {
-        self.position = position;
-        self.position_at = now;
-    }
-
-    /// Whether the member's log was short of `floor` a moment ago.
-    pub fn is_behind(&self, now: u64, floor: Position) -> bool {
-        self.position < floor && now < self.position_at + POSITION_MS && self.position_at > 0
-    }
-
     /// Whether the member failed a moment ago.
     pub fn is_paused(&self, now: u64) -> bool {
         now < self.paused_until
@@ -102,8 +83,6 @@
     pub connected: bool,
     /// Whether it is the primary.
     pub primary: bool,
-    /// Whether its log was too short for the read a moment ago.
-    pub behind: bool,
 }
 
 impl Candidate {
@@ -112,8 +91,7 @@
         let remote = if self.near { 0 } else { REMOTE_MS };
         let open = if self.connected { 0 } else { OPEN_MS };
         let primary = if self.primary { PRIMARY_MS } else { 0 };
-        let behind = if self.behind { BEHIND_MS } else { 0 };
-        (self.load.running + 1) * self.load.latency_ms() + remote + open + primary + behind
+        (self.load.running + 1) * self.load.latency_ms() + remote + open + primary
     }
 }
 
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -323,11 +323,6 @@
         self.link.as_mut()
     }
 
-    /// Pool that the connection belongs to.
-    pub(crate) fn pool(&self) -> &Arc<Pool> {
-        &self.pool
-    }
-
     /// Closes the connection; the member then rolls back what is open on it.
     pub(crate) fn spoil(&mut self) {
         if self.link.take().is_some() {
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -109,14 +109,11 @@
                 continue;
             }
             let pool = self.pool(&world.state, &route.service, name, member);
-            let load = pool.load();
-            let short = |floor| !primary && load.is_behind(now, floor);
             candidates.push(Candidate {
-                load,
+                load: pool.load(),
                 near: *member.zone == *self.settings.zone,
                 connected: pool.has_idle(&operation.workspace),
                 primary,
-                behind: floor.is_some_and(short),
             });
             members.push((name, pool, primary));
         }
@@ -314,9 +311,6 @@
         match timeout(work.left(sent_at), link.run(query)).await {
             Ok(Ok(answer)) => {
                 link.settle(answer.status);
-                if let Some(position) = answer.position {
-                    loan.pool().note(|load| load.reach(now_ms(), position));
-                }
                 Ok((sent_at, answer))
             }
             _ => {
