--- a/crates/hemlockcrank_core/src/allotment.rs
+++ b/crates/hemlockcrank_core/src/allotment.rs
@@ -14,12 +14,12 @@
 //! its loans have surely ended.
 
 mod bucket;
+mod portion;
 mod purse;
-mod share;
 
 pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
 pub use purse::{Ask, Purse, Take};
-pub use share::{Share, lent};
+pub use portion::{Division, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE};
 
 /// Life of a loan for the borrower, counted from when it asked, in milliseconds.
 pub const LOAN_MS: u64 = 400;
--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -123,6 +123,14 @@
         best.map(|listed| &listed.host.name)
     }
 
+    /// The one serving host that owns `key`: hosts that serve a platform's control are left out.
+    pub fn serving_owner(&self, key: &str) -> Option<&Name> {
+        let key = hash(key);
+        let serving = self.hosts.values().filter(|listed| listed.host.control.is_none());
+        let best = serving.max_by_key(|listed| score(key, listed));
+        best.map(|listed| &listed.host.name)
+    }
+
     /// Up to `count` hosts for `key`, in different availability zones as far as there are enough.
     pub fn spread(&self, key: &str, count: usize) -> Vec<Name> {
         let key = hash(key);
--- a/crates/hemlockcrank_core/tests/allotment/main.rs
+++ b/crates/hemlockcrank_core/tests/allotment/main.rs
@@ -7,4 +7,5 @@
 
 mod explore;
 mod fleet;
+mod portions;
 mod random;
--- /dev/null
+++ b/crates/hemlockcrank_core/tests/allotment/portions.rs
@@ -0,0 +1,156 @@
+//! Portions of a rate: what hosts may use together, through lost answers, lost owners and silent hosts.
+
+use std::collections::BTreeMap;
+
+use hemlockcrank_core::{
+    Name,
+    allotment::{Division, PORTION_MS, Portion, PortionAsk, WHOLE},
+    record::Rate,
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+
+const RATE: Rate = Rate {
+    per_second: 100,
+    burst: 50,
+};
+const HOSTS: [&str; 4] = ["h1", "h2", "h3", "h4"];
+
+fn names() -> Vec<Name> {
+    HOSTS.iter().map(|name| Name::from(*name)).collect()
+}
+
+fn ask(held: u64, demand: u64) -> PortionAsk {
+    PortionAsk {
+        workspace: "w".into(),
+        held,
+        demand,
+    }
+}
+
+/// A division that every host has reported to.
+fn open_division() -> Division {
+    let mut division = Division::new(0, names());
+    for name in names() {
+        division.ask(0, &name, &ask(0, 0), 4);
+    }
+    division
+}
+
+#[test]
+fn demand_decides_and_the_sum_stays_within_the_whole() {
+    let mut division = open_division();
+    let mut held = BTreeMap::new();
+
+    for now in 1..40 {
+        for (name, demand) in names().iter().zip([90, 10, 0, 0]) {
+            let before = held.get(name).copied().unwrap_or(0);
+            let parts = division.ask(now * 100, name, &ask(before, demand), 4);
+            held.insert(name.clone(), parts);
+            assert!(held.values().sum::<u64>() <= WHOLE);
+        }
+    }
+
+    assert!(held["h1"] > WHOLE / 2, "{held:?}");
+    assert!(held["h3"] > 0, "an idle host keeps a little: {held:?}");
+}
+
+#[test]
+fn a_new_owner_raises_nothing_before_every_host_has_told_what_it_holds() {
+    let mut division = Division::new(1_000, names());
+
+    let first = division.ask(1_000, &"h1".into(), &ask(200_000, 50), 4);
+    let second = division.ask(1_000, &"h2".into(), &ask(0, 50), 4);
+
+    assert!(first <= 200_000);
+    assert_eq!(second, 0);
+}
+
+#[test]
+fn a_new_owner_opens_when_the_old_portions_have_surely_ended() {
+    let mut division = Division::new(1_000, names());
+
+    let early = division.ask(1_000 + PORTION_MS, &"h2".into(), &ask(0, 50), 4);
+    let late = division.ask(1_200 + PORTION_MS, &"h2".into(), &ask(0, 50), 4);
+
+    assert_eq!(early, 0);
+    assert!(late > 0);
+}
+
+#[test]
+fn a_new_owner_does_not_wait_for_hosts_that_left_the_view() {
+    let mut division = Division::new(1_000, names());
+    division.keep(|name| **name == *"h2");
+
+    let parts = division.ask(1_000, &"h2".into(), &ask(0, 50), 1);
+
+    assert!(parts > 0);
+}
+
+#[test]
+fn a_host_goes_on_without_its_owner_until_its_portion_ends() {
+    let mut portion = Portion::default();
+    portion.ask(0, "w".into());
+    portion.grant(10, 0, WHOLE / 2, RATE, 4);
+
+    let early = (0..40).filter(|turn| portion.take(1_000 + turn * 20, RATE, 4)).count();
+    let late = (0..40).filter(|turn| portion.take(PORTION_MS + turn * 20, RATE, 4)).count();
+
+    assert!(early > 30, "{early}");
+    assert_eq!(late, 0);
+}
+
+#[test]
+fn an_answer_to_an_older_question_is_dropped() {
+    let mut portion = Portion::default();
+    portion.ask(0, "w".into());
+    portion.ask(100, "w".into());
+
+    portion.grant(110, 0, WHOLE, RATE, 4);
+
+    assert_eq!(portion.ask(200, "w".into()).held, 0);
+}
+
+/// Hosts take as fast as they can; owners come and go; questions and answers are lost. In no window do
+/// the hosts together get more than the rate and the burst allow, with one operation a host for rounding.
+#[test]
+fn no_window_exceeds_rate_and_burst() {
+    for seed in 0..60 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut chance = |count: u32| random.next_u32().is_multiple_of(count);
+        let mut division = open_division();
+        let mut portions: BTreeMap<Name, Portion> =
+            names().into_iter().map(|name| (name, Portion::default())).collect();
+        let mut taken: Vec<u64> = Vec::new();
+        for now in (10..30_000).step_by(10) {
+            if chance(700) {
+                division = Division::new(now, names());
+            }
+            for (name, portion) in &mut portions {
+                if chance(2_000) {
+                    *portion = Portion::default();
+                }
+                if chance(12) {
+                    let question = portion.ask(now, "w".into());
+                    if chance(8) {
+                        continue;
+                    }
+                    let parts = division.ask(now, name, &question, 4);
+                    if !chance(8) {
+                        portion.grant(now, now, parts, RATE, 4);
+                    }
+                }
+                while portion.take(now, RATE, 4) {
+                    taken.push(now);
+                }
+            }
+        }
+        for (index, start) in taken.iter().enumerate() {
+            let within = taken[index..].iter().take_while(|at| **at < start + 5_000).count() as u64;
+            let allowed = 5 * RATE.per_second + RATE.burst + HOSTS.len() as u64;
+            assert!(within <= allowed, "seed {seed}: {within} operations from {start} on");
+        }
+    }
+}
--- a/crates/hemlockcrank_host/src/context.rs
+++ b/crates/hemlockcrank_host/src/context.rs
@@ -12,7 +12,7 @@
 use pgwire::messages::startup::SecretKey;
 
 use crate::{
-    control::Control, engine::Site, event::Timeline, limits::Limits, metrics::Metrics,
+    control::Control, engine::Site, event::Timeline, limits::{Limits, Portions}, metrics::Metrics,
     peers::Peers, settings::Settings, upstream::Upstreams,
 };
 
@@ -34,6 +34,8 @@
     pub upstreams: Upstreams,
     /// Rates.
     pub limits: Arc<Limits>,
+    /// Rates of a configuration that was submitted whole.
+    pub portions: Arc<Portions>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Sessions of a platform of its own, on hosts that serve them.
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -392,7 +392,7 @@
                 let newest = self.leads(now_ms()).then_some(self.state.index);
                 reply(port, Response::Newest(newest));
             }
-            Request::Borrow { .. } | Request::HandOver { .. } | Request::Events => {
+            Request::Borrow { .. } | Request::Portions { .. } | Request::HandOver { .. } | Request::Events => {
                 reply(port, Response::Unavailable);
             }
         }
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -24,7 +24,7 @@
     engine::{self, Board, Dialect, Site},
     event::{Event, Timeline},
     http,
-    limits::Limits,
+    limits::{Limits, Portions},
     metrics::{Metrics, MetricsError},
     peers::Peers,
     settings::Settings,
@@ -143,13 +143,14 @@
             message_bytes: settings.limits.message_bytes,
             answer_limit: Duration::from_millis(settings.limits.silence_ms) * ANSWER_SILENCES,
         };
+        let portions = Portions::new(control.clone(), Arc::clone(&peers));
         let metrics = Arc::new(Metrics::new()?);
         let site = dialect.filter(|_| callers.is_some()).map(|dialect| {
             Site::new(
                 dialect,
                 Arc::clone(&settings),
                 control.clone(),
-                Arc::clone(&limits),
+                Arc::clone(&portions),
                 board,
                 Arc::clone(&timeline),
                 Arc::clone(&metrics),
@@ -162,6 +163,7 @@
             peers,
             upstreams: Upstreams::new(source),
             limits: Arc::clone(&limits),
+            portions: Arc::clone(&portions),
             metrics,
             site: site.clone(),
             next_session: AtomicU64::new(0),
@@ -171,7 +173,9 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(serve_peers(Arc::clone(&context), peer_listener));
         tasks.spawn(http::serve(Arc::clone(&context), operators));
-        if dialect.is_none() {
+        if dialect.is_some() {
+            tasks.spawn(portions.run());
+        } else {
             tasks.spawn(Watcher::default().run(Arc::clone(&context)));
         }
         match (site, callers) {
@@ -290,6 +294,9 @@
             want,
             settled,
         } => Response::Allotment(context.limits.lend(&workspace, want, &settled).await),
+        Request::Portions { host, index, asks } => {
+            Response::Portions(context.portions.answer(&host, index, &asks).await)
+        }
         Request::HandOver { workspace, index } => {
             Response::HandOver(context.limits.hand_over(&workspace, index).await)
         }
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -4,6 +4,7 @@
 //! [`Limits::lend`] and [`Limits::hand_over`] are the owner's side, called by peers; both run on traffic
 //! threads, the control thread is not involved.
 
+mod portions;
 mod tenure;
 
 use std::{
@@ -18,7 +19,7 @@
 use hemlockcrank_core::{
     Name,
     allotment::{
-        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Share, Take, lent,
+        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Take,
     },
     lease,
     record::Rate,
@@ -33,6 +34,7 @@
     peers::Peers,
     sync::lock,
 };
+pub use portions::Portions;
 use tenure::{Cause, Tenures};
 
 /// Pause after an owner that did not answer or may not lend yet.
@@ -61,7 +63,6 @@
 
 #[derive(Debug, Default)]
 struct Borrower {
-    share: Mutex<Share>,
     purse: Mutex<Purse>,
     waiting: AtomicU64,
     answered: Notify,
@@ -92,16 +93,10 @@
     /// Keeps tenures and unused tokens in order, until dropped.
     pub async fn run(self: Arc<Self>) {
         let mut watch = self.control.watch();
-        let mut opened = World::default();
         loop {
             let world = watch.borrow_and_update().clone();
             let host = &self.control.host().name;
             lock(&self.tenures).note(now_ms(), world.state.index, &world.state.view, host);
-            let same_view = Arc::ptr_eq(&opened.state.view, &world.state.view);
-            if !same_view || !Arc::ptr_eq(&opened.state.catalog, &world.state.catalog) {
-                self.open_owned(&world);
-                opened = World::clone(&world);
-            }
             let sweep = if self.give_back_unused(&world) {
                 SWEEP
             } else {
@@ -129,9 +124,6 @@
         loop {
             let answered = borrower.answered.notified();
             let now = now_ms();
-            if self.take_share(&borrower, workspace, now) {
-                return Ok(());
-            }
             let ask = {
                 let mut purse = lock(&borrower.purse);
                 if purse.take(now) == Take::Admitted {
@@ -170,17 +162,6 @@
         }
     }
 
-    /// Spends a token of the part of the rate that needs no owner.
-    fn take_share(&self, borrower: &Borrower, workspace: &Name, now: u64) -> bool {
-        let world = self.control.world();
-        let Some(rate) = world.state.catalog.rate(workspace) else {
-            return false;
-        };
-        let mut share = lock(&borrower.share);
-        share.set(now, rate, serving_hosts(&world));
-        share.take(now)
-    }
-
     /// Asks the owner, which may be this host.
     async fn borrow(
         self: &Arc<Self>,
@@ -217,7 +198,7 @@
     ) -> Answer {
         let world = self.control.world();
         let owns = world.state.view.owner(workspace) == Some(&self.control.host().name);
-        let Some(rate) = lent_rate(&world, workspace) else {
+        let Some(rate) = world.state.records.rate(workspace) else {
             return Answer::Closed;
         };
         if !owns || !world.has_lease() {
@@ -253,23 +234,6 @@
         Some(bucket.hand_over(now_ms()))
     }
 
-    /// Starts the buckets that this host has come to own, before anybody asks for tokens.
-    fn open_owned(self: &Arc<Self>, world: &Arc<World>) {
-        let host = &self.control.host().name;
-        for workspace in world.state.catalog.limited() {
-            let owned = world.state.view.owner(workspace) == Some(host);
-            if !owned || lock(&self.buckets).contains_key(workspace) {
-                continue;
-            }
-            let Some(rate) = lent_rate(world, workspace) else {
-                continue;
-            };
-            let (limits, world, workspace) =
-                (Arc::clone(self), Arc::clone(world), workspace.clone());
-            tokio::spawn(async move { limits.open_bucket(&world, &workspace, rate).await });
-        }
-    }
-
     /// Starts the bucket of a workspace: full for a new rate, from the old owner where there is one,
     /// else empty from the moment at which nobody else could lend any more.
     async fn open_bucket(&self, world: &World, workspace: &Name, rate: Rate) {
@@ -351,24 +315,6 @@
     }
 }
 
-/// Hosts between which a part of each rate is divided.
-fn serving_hosts(world: &World) -> u64 {
-    let serving = world
-        .state
-        .view
-        .iter()
-        .filter(|host| host.control.is_none());
-    serving.count() as u64
-}
-
-/// Rate that the owner lends: all of it, where it comes from a record.
-fn lent_rate(world: &World, workspace: &str) -> Option<Rate> {
-    match world.state.catalog.rate(workspace) {
-        Some(rate) => Some(lent(rate, serving_hosts(world))),
-        None => world.state.records.rate(workspace),
-    }
-}
-
 /// Counts a waiting task while it waits.
 struct Counted<'a>(&'a AtomicU64);
 
--- /dev/null
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -0,0 +1,221 @@
+//! Rates of a configuration that was submitted whole: this host as holder and as owner.
+//!
+//! Decisions are those of `hemlockcrank_core::allotment`; here are the calls and their pace.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use hemlockcrank_core::{
+    Name,
+    allotment::{Division, Portion, PortionAsk, PortionGrant},
+    record::Rate,
+};
+use hemlockcrank_wire::{Request, Response};
+use tokio::{sync::Notify, time::sleep};
+
+use crate::{
+    clock::now_ms,
+    control::{Control, World},
+    peers::Peers,
+    sync::lock,
+};
+
+/// Interval between two questions to the same owner.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Shortest interval, when an operation found nothing.
+const ASK_SOON: Duration = Duration::from_millis(40);
+/// Longest wait for an owner's answer.
+const ASK_LIMIT: Duration = Duration::from_millis(400);
+/// Pause of an operation before it looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+#[derive(Debug)]
+struct Owned {
+    index: u64,
+    division: Division,
+}
+
+/// All portions and divisions of this host.
+#[derive(Debug)]
+pub struct Portions {
+    control: Control,
+    peers: Arc<Peers>,
+    held: Mutex<HashMap<Name, Portion>>,
+    owned: Mutex<HashMap<Name, Owned>>,
+    /// Owners that have not answered yet, since when.
+    asking: Mutex<HashMap<Name, u64>>,
+    wanted: Notify,
+}
+
+impl Portions {
+    /// Nothing held yet.
+    pub fn new(control: Control, peers: Arc<Peers>) -> Arc<Self> {
+        Arc::new(Self {
+            control,
+            peers,
+            held: Mutex::default(),
+            owned: Mutex::default(),
+            asking: Mutex::default(),
+            wanted: Notify::new(),
+        })
+    }
+
+    /// Spends one operation of a workspace's rate, waiting for it until `deadline`; returns whether there
+    /// was one.
+    pub async fn admit(&self, workspace: &Name, deadline: u64) -> bool {
+        let mut counted = false;
+        loop {
+            let world = self.control.world();
+            let Some(rate) = world.state.catalog.rate(workspace) else {
+                return true;
+            };
+            let now = now_ms();
+            let taken = {
+                let mut held = lock(&self.held);
+                let portion = held.entry(workspace.clone()).or_default();
+                match counted {
+                    false => portion.take(now, rate, serving(&world)),
+                    true => portion.take_again(now, rate, serving(&world)),
+                }
+            };
+            if taken {
+                return true;
+            }
+            counted = true;
+            self.wanted.notify_one();
+            if now >= deadline {
+                return false;
+            }
+            sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Asks the owners of all rates again and again, until dropped.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let world = self.control.world();
+            let mut questions: BTreeMap<Name, Vec<PortionAsk>> = BTreeMap::new();
+            let now = now_ms();
+            {
+                let mut held = lock(&self.held);
+                held.retain(|workspace, portion| {
+                    !portion.is_idle(now) || world.state.catalog.rate(workspace).is_some()
+                });
+                for workspace in world.state.catalog.limited() {
+                    let Some(owner) = world.state.view.serving_owner(workspace) else {
+                        continue;
+                    };
+                    let limit = u64::try_from(ASK_LIMIT.as_millis()).unwrap_or(u64::MAX);
+                    let since = lock(&self.asking).get(owner).copied();
+                    if since.is_some_and(|since| now < since + limit) {
+                        continue;
+                    }
+                    let portion = held.entry(workspace.clone()).or_default();
+                    let ask = portion.ask(now, workspace.clone());
+                    questions.entry(owner.clone()).or_default().push(ask);
+                }
+            }
+            for (owner, asks) in questions {
+                lock(&self.asking).insert(owner.clone(), now);
+                let portions = Arc::clone(&self);
+                let world = Arc::clone(&world);
+                tokio::spawn(async move { portions.ask(&world, &owner, asks, now).await });
+            }
+            let _ = tokio::time::timeout(ASK_EVERY, async {
+                sleep(ASK_SOON).await;
+                self.wanted.notified().await;
+            })
+            .await;
+        }
+    }
+
+    async fn ask(&self, world: &World, owner: &Name, asks: Vec<PortionAsk>, asked_at: u64) {
+        let host = &self.control.host().name;
+        let index = world.state.index;
+        let grants = if owner == host {
+            self.answer(host, index, &asks).await
+        } else {
+            let request = Request::Portions {
+                host: host.clone(),
+                index,
+                asks,
+            };
+            match self.peers.address_of(owner, &world.state.view) {
+                Some(address) => match self.peers.call(address, &request, ASK_LIMIT).await {
+                    Ok(Response::Portions(grants)) => grants,
+                    _ => None,
+                },
+                None => None,
+            }
+        };
+        let now = now_ms();
+        lock(&self.asking).remove(owner);
+        let mut held = lock(&self.held);
+        for grant in grants.into_iter().flatten() {
+            let rate = world.state.catalog.rate(&grant.workspace);
+            if let (Some(rate), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
+                portion.grant(now, asked_at, grant.parts, rate, serving(world));
+            }
+        }
+    }
+
+    /// Answers a host; `None` when this host is not the owner, or does not know of it yet.
+    pub async fn answer(
+        &self,
+        host: &Name,
+        index: u64,
+        asks: &[PortionAsk],
+    ) -> Option<Vec<PortionGrant>> {
+        let world = self.control.reached(index).await?;
+        let myself = &self.control.host().name;
+        world.state.view.get(host)?;
+        if !world.has_lease() {
+            return None;
+        }
+        let now = now_ms();
+        let view = &world.state.view;
+        let mut owned = lock(&self.owned);
+        owned.retain(|workspace, _| view.serving_owner(workspace) == Some(myself));
+        let mut grants = Vec::new();
+        for ask in asks {
+            if view.serving_owner(&ask.workspace) != Some(myself) {
+                continue;
+            }
+            let fresh = || Owned {
+                index: world.state.index,
+                division: Division::new(now, serving_names(&world)),
+            };
+            let entry = owned.entry(ask.workspace.clone()).or_insert_with(fresh);
+            debug_assert!(entry.index <= world.state.index, "the view does not go back");
+            entry.division.keep(|name| view.get(name).is_some());
+            let parts = entry.division.ask(now, host, ask, serving(&world));
+            grants.push(PortionGrant {
+                workspace: ask.workspace.clone(),
+                parts,
+            });
+        }
+        Some(grants)
+    }
+
+    /// Parts of a workspace's rate that this host holds, for people who look.
+    pub fn held(&self, workspace: &str) -> Option<(u64, Rate)> {
+        let world = self.control.world();
+        let rate = world.state.catalog.rate(workspace)?;
+        let mut held = lock(&self.held);
+        let portion = held.get_mut(workspace)?;
+        Some((portion.ask(now_ms(), workspace.into()).held, rate))
+    }
+}
+
+fn serving(world: &World) -> u64 {
+    serving_names(world).count() as u64
+}
+
+fn serving_names(world: &World) -> impl Iterator<Item = Name> {
+    let hosts = world.state.view.iter();
+    let serving = hosts.filter(|host| host.control.is_none());
+    serving.map(|host| host.name.clone())
+}
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -4,7 +4,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Answer, Handover, Settlement},
+    allotment::{Answer, Handover, PortionAsk, PortionGrant, Settlement},
     clock::Stamp,
     consensus::{Config, Envelope, Id},
     failover::Report,
@@ -46,6 +46,15 @@
         /// Loans that are done.
         settled: Vec<Settlement>,
     },
+    /// Asks the owner of rates for portions of them. Rates that are not named are not held.
+    Portions {
+        /// Host that asks.
+        host: Name,
+        /// Log index of the view by which the receiver is the owner.
+        index: u64,
+        /// Rates.
+        asks: Vec<PortionAsk>,
+    },
     /// Asks the last owner of a workspace's rate for its bucket.
     HandOver {
         /// Workspace.
@@ -220,6 +229,8 @@
     Proposed(ProposeReply),
     /// Answer to [`Request::Borrow`].
     Allotment(Answer),
+    /// Answer to [`Request::Portions`]; `None` when the receiver is not the owner.
+    Portions(Option<Vec<PortionGrant>>),
     /// Answer to [`Request::HandOver`]; `None` when the receiver had no bucket or is not ready.
     HandOver(Option<Handover>),
     /// Answer to [`Request::Progress`]; `None` when the receiver does not lead.
