--- a/crates/hemlockcrank_core/src/allotment.rs
+++ b/crates/hemlockcrank_core/src/allotment.rs
@@ -19,7 +19,7 @@
 
 pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
 pub use purse::{Ask, Purse, Take};
-pub use portion::{Division, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE};
+pub use portion::{Division, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE, split};
 
 /// Life of a loan for the borrower, counted from when it asked, in milliseconds.
 pub const LOAN_MS: u64 = 400;
--- a/crates/hemlockcrank_core/src/allotment/portion.rs
+++ b/crates/hemlockcrank_core/src/allotment/portion.rs
@@ -18,6 +18,8 @@
 
 use crate::{Name, record::Rate};
 
+/// Part of a rate that is held in portions, in percent; the owner lends the rest.
+const HELD_PERCENT: u64 = 50;
 /// The whole of a rate, in parts.
 pub const WHOLE: u64 = 1_000_000;
 /// Life of a portion for its holder, counted from when it asked, in milliseconds.
@@ -35,6 +37,22 @@
 /// Window over which demand is counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
+/// The part of a rate that is held in portions, and the part that the owner lends.
+///
+/// What is held goes on without the owner; what is lent serves whoever needs it, also hosts whose
+/// portion is small.
+pub fn split(rate: Rate) -> (Rate, Rate) {
+    let held = Rate {
+        per_second: rate.per_second * HELD_PERCENT / 100,
+        burst: rate.burst * HELD_PERCENT / 100,
+    };
+    let lent = Rate {
+        per_second: rate.per_second - held.per_second,
+        burst: rate.burst - held.burst,
+    };
+    (held, lent)
+}
+
 /// A host's question about one rate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PortionAsk {
@@ -149,11 +167,6 @@
     pub fn take(&mut self, now: u64, rate: Rate, hosts: u64) -> bool {
         self.roll(now);
         self.came += 1;
-        self.take_again(now, rate, hosts)
-    }
-
-    /// The same for an operation that has been counted.
-    pub fn take_again(&mut self, now: u64, rate: Rate, hosts: u64) -> bool {
         self.refill(now, rate, hosts);
         let enough = self.level_milli >= MILLI;
         if enough {
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -150,6 +150,7 @@
                 dialect,
                 Arc::clone(&settings),
                 control.clone(),
+                Arc::clone(&limits),
                 Arc::clone(&portions),
                 board,
                 Arc::clone(&timeline),
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -5,7 +5,7 @@
 use hemlockcrank_core::{Name, catalog::Route};
 
 use super::{Code, Site};
-use crate::{clock::now_ms, control::World};
+use crate::{clock::now_ms, control::World, limits};
 
 /// Part of the latency objective after which an operation that cannot run is refused.
 const PATIENCE_PART: u64 = 4;
@@ -96,10 +96,13 @@
 
     /// Spends a token of the workspace's rate.
     pub(crate) async fn admit(&self, operation: &Operation) -> Result<(), Refusal> {
-        let patience = operation.patience();
-        match self.portions.admit(&operation.workspace, patience).await {
-            true => Ok(()),
-            false => Err(Refusal::new(Code::TooMany, "over the rate")),
+        if self.portions.take(&operation.workspace) {
+            return Ok(());
         }
+        let admitted = self.limits.admit(&operation.workspace, operation.patience());
+        admitted.await.map_err(|refusal| match refusal {
+            limits::Refusal::OverRate => Refusal::new(Code::TooMany, "over the rate"),
+            limits::Refusal::OwnerUnreachable => Refusal::new(Code::Busy, "rate unknown"),
+        })
     }
 }
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -19,7 +19,7 @@
 use hemlockcrank_core::{
     Name,
     allotment::{
-        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Take,
+        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Take, split,
     },
     lease,
     record::Rate,
@@ -93,10 +93,16 @@
     /// Keeps tenures and unused tokens in order, until dropped.
     pub async fn run(self: Arc<Self>) {
         let mut watch = self.control.watch();
+        let mut opened = World::default();
         loop {
             let world = watch.borrow_and_update().clone();
             let host = &self.control.host().name;
             lock(&self.tenures).note(now_ms(), world.state.index, &world.state.view, host);
+            let same_view = Arc::ptr_eq(&opened.state.view, &world.state.view);
+            if !same_view || !Arc::ptr_eq(&opened.state.catalog, &world.state.catalog) {
+                self.open_owned(&world);
+                opened = World::clone(&world);
+            }
             let sweep = if self.give_back_unused(&world) {
                 SWEEP
             } else {
@@ -170,7 +176,7 @@
         settled: Vec<Settlement>,
     ) -> Option<Answer> {
         let world = self.control.world();
-        let owner = world.state.view.owner(workspace)?.clone();
+        let owner = world.state.view.serving_owner(workspace)?.clone();
         if owner == self.control.host().name {
             return Some(self.lend(workspace, want, &settled).await);
         }
@@ -197,8 +203,8 @@
         settled: &[Settlement],
     ) -> Answer {
         let world = self.control.world();
-        let owns = world.state.view.owner(workspace) == Some(&self.control.host().name);
-        let Some(rate) = world.state.records.rate(workspace) else {
+        let owns = world.state.view.serving_owner(workspace) == Some(&self.control.host().name);
+        let Some(rate) = lent_rate(&world, workspace) else {
             return Answer::Closed;
         };
         if !owns || !world.has_lease() {
@@ -222,7 +228,7 @@
     /// counts the whole burst as lent until such loans have ended.
     pub async fn hand_over(&self, workspace: &Name, index: u64) -> Option<Handover> {
         let world = self.control.reached(index).await?;
-        if world.state.view.owner(workspace) == Some(&self.control.host().name) {
+        if world.state.view.serving_owner(workspace) == Some(&self.control.host().name) {
             return None;
         }
         let Some(mut bucket) = lock(&self.buckets).remove(workspace) else {
@@ -234,6 +240,23 @@
         Some(bucket.hand_over(now_ms()))
     }
 
+    /// Starts the buckets that this host has come to own, before anybody asks for tokens.
+    fn open_owned(self: &Arc<Self>, world: &Arc<World>) {
+        let host = &self.control.host().name;
+        for workspace in world.state.catalog.limited() {
+            let owned = world.state.view.serving_owner(workspace) == Some(host);
+            if !owned || lock(&self.buckets).contains_key(workspace) {
+                continue;
+            }
+            let Some(rate) = lent_rate(world, workspace) else {
+                continue;
+            };
+            let (limits, world, workspace) =
+                (Arc::clone(self), Arc::clone(world), workspace.clone());
+            tokio::spawn(async move { limits.open_bucket(&world, &workspace, rate).await });
+        }
+    }
+
     /// Starts the bucket of a workspace: full for a new rate, from the old owner where there is one,
     /// else empty from the moment at which nobody else could lend any more.
     async fn open_bucket(&self, world: &World, workspace: &Name, rate: Rate) {
@@ -292,7 +315,7 @@
         let now = now_ms();
         let within = u64::try_from(SWEEP.as_millis()).unwrap_or(u64::MAX) * 2;
         let host = &self.control.host().name;
-        let owned = |workspace: &Name| world.state.view.owner(workspace) == Some(host);
+        let owned = |workspace: &Name| world.state.view.serving_owner(workspace) == Some(host);
         lock(&self.buckets).retain(|workspace, bucket| owned(workspace) || bucket.is_lent(now));
         let borrowers: Vec<_> = lock(&self.borrowers).clone().into_iter().collect();
         let mut holds = false;
@@ -315,6 +338,14 @@
     }
 }
 
+/// Rate that the owner lends: all of it, where it comes from a record.
+fn lent_rate(world: &World, workspace: &str) -> Option<Rate> {
+    match world.state.catalog.rate(workspace) {
+        Some(rate) => Some(split(rate).1),
+        None => world.state.records.rate(workspace),
+    }
+}
+
 /// Counts a waiting task while it waits.
 struct Counted<'a>(&'a AtomicU64);
 
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -10,11 +10,11 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Division, Portion, PortionAsk, PortionGrant},
+    allotment::{Division, Portion, PortionAsk, PortionGrant, split},
     record::Rate,
 };
 use hemlockcrank_wire::{Request, Response};
-use tokio::{sync::Notify, time::sleep};
+use tokio::time::sleep;
 
 use crate::{
     clock::now_ms,
@@ -25,12 +25,8 @@
 
 /// Interval between two questions to the same owner.
 const ASK_EVERY: Duration = Duration::from_millis(300);
-/// Shortest interval, when an operation found nothing.
-const ASK_SOON: Duration = Duration::from_millis(40);
 /// Longest wait for an owner's answer.
 const ASK_LIMIT: Duration = Duration::from_millis(400);
-/// Pause of an operation before it looks again.
-const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
 #[derive(Debug)]
 struct Owned {
@@ -47,7 +43,6 @@
     owned: Mutex<HashMap<Name, Owned>>,
     /// Owners that have not answered yet, since when.
     asking: Mutex<HashMap<Name, u64>>,
-    wanted: Notify,
 }
 
 impl Portions {
@@ -59,38 +54,19 @@
             held: Mutex::default(),
             owned: Mutex::default(),
             asking: Mutex::default(),
-            wanted: Notify::new(),
         })
     }
 
-    /// Spends one operation of a workspace's rate, waiting for it until `deadline`; returns whether there
-    /// was one.
-    pub async fn admit(&self, workspace: &Name, deadline: u64) -> bool {
-        let mut counted = false;
-        loop {
-            let world = self.control.world();
-            let Some(rate) = world.state.catalog.rate(workspace) else {
-                return true;
-            };
-            let now = now_ms();
-            let taken = {
-                let mut held = lock(&self.held);
-                let portion = held.entry(workspace.clone()).or_default();
-                match counted {
-                    false => portion.take(now, rate, serving(&world)),
-                    true => portion.take_again(now, rate, serving(&world)),
-                }
-            };
-            if taken {
-                return true;
-            }
-            counted = true;
-            self.wanted.notify_one();
-            if now >= deadline {
-                return false;
-            }
-            sleep(LOOK_AGAIN).await;
-        }
+    /// Spends one operation of a workspace's portion, if one is here.
+    pub fn take(&self, workspace: &Name) -> bool {
+        let world = self.control.world();
+        let Some(rate) = world.state.catalog.rate(workspace) else {
+            return true;
+        };
+        let (rate, _) = split(rate);
+        let mut held = lock(&self.held);
+        let portion = held.entry(workspace.clone()).or_default();
+        portion.take(now_ms(), rate, serving(&world))
     }
 
     /// Asks the owners of all rates again and again, until dropped.
@@ -124,11 +100,7 @@
                 let world = Arc::clone(&world);
                 tokio::spawn(async move { portions.ask(&world, &owner, asks, now).await });
             }
-            let _ = tokio::time::timeout(ASK_EVERY, async {
-                sleep(ASK_SOON).await;
-                self.wanted.notified().await;
-            })
-            .await;
+            sleep(ASK_EVERY).await;
         }
     }
 
@@ -155,8 +127,8 @@
         lock(&self.asking).remove(owner);
         let mut held = lock(&self.held);
         for grant in grants.into_iter().flatten() {
-            let rate = world.state.catalog.rate(&grant.workspace);
-            if let (Some(rate), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
+            let rate = world.state.catalog.rate(&grant.workspace).map(split);
+            if let (Some((rate, _)), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
                 portion.grant(now, asked_at, grant.parts, rate, serving(world));
             }
         }
--- a/crates/hemlockcrank_host/src/limits/tenure.rs
+++ b/crates/hemlockcrank_host/src/limits/tenure.rs
@@ -67,7 +67,7 @@
             .iter()
             .enumerate()
             .rev()
-            .take_while(|(_, noted)| noted.view.owner(key) == Some(host));
+            .take_while(|(_, noted)| noted.view.serving_owner(key) == Some(host));
         let (first, noted) = own.by_ref().last()?;
         let before = first.checked_sub(1).and_then(|index| self.views.get(index));
         Some(Tenure {
@@ -80,11 +80,11 @@
 
 fn cause(key: &str, host: &Name, view: &View, before: Option<&View>) -> Cause {
     let previous = match before {
-        Some(before) => before.owner(key).cloned(),
+        Some(before) => before.serving_owner(key).cloned(),
         None => {
             let mut without = view.clone();
             without.remove(host, u64::MAX);
-            without.owner(key).cloned()
+            without.serving_owner(key).cloned()
         }
     };
     match previous {
