--- a/crates/hemlockcrank_core/src/allotment/portion.rs
+++ b/crates/hemlockcrank_core/src/allotment/portion.rs
@@ -20,6 +20,8 @@
 
 /// Part of a rate that is held in portions, in percent; the owner lends the rest.
 const HELD_PERCENT: u64 = 50;
+/// Smallest burst that is worth holding, for each host.
+const HELD_EACH: u64 = 4;
 /// The whole of a rate, in parts.
 pub const WHOLE: u64 = 1_000_000;
 /// Life of a portion for its holder, counted from when it asked, in milliseconds.
@@ -40,11 +42,14 @@
 /// The part of a rate that is held in portions, and the part that the owner lends.
 ///
 /// What is held goes on without the owner; what is lent serves whoever needs it, also hosts whose
-/// portion is small.
-pub fn split(rate: Rate) -> (Rate, Rate) {
+/// portion is small. A rate whose burst is small for so many hosts is lent as a whole.
+pub fn split(rate: Rate, hosts: u64) -> (Rate, Rate) {
+    let held = |whole: u64| whole * HELD_PERCENT / 100;
+    let divided = held(rate.burst) >= HELD_EACH * hosts;
+    let part = |whole: u64| if divided { held(whole) } else { 0 };
     let held = Rate {
-        per_second: rate.per_second * HELD_PERCENT / 100,
-        burst: rate.burst * HELD_PERCENT / 100,
+        per_second: part(rate.per_second),
+        burst: part(rate.burst),
     };
     let lent = Rate {
         per_second: rate.per_second - held.per_second,
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -341,7 +341,7 @@
 /// Rate that the owner lends: all of it, where it comes from a record.
 fn lent_rate(world: &World, workspace: &str) -> Option<Rate> {
     match world.state.catalog.rate(workspace) {
-        Some(rate) => Some(split(rate).1),
+        Some(rate) => Some(split(rate, portions::serving(world)).1),
         None => world.state.records.rate(workspace),
     }
 }
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -63,10 +63,11 @@
         let Some(rate) = world.state.catalog.rate(workspace) else {
             return true;
         };
-        let (rate, _) = split(rate);
+        let hosts = serving(&world);
+        let (rate, _) = split(rate, hosts);
         let mut held = lock(&self.held);
         let portion = held.entry(workspace.clone()).or_default();
-        portion.take(now_ms(), rate, serving(&world))
+        portion.take(now_ms(), rate, hosts)
     }
 
     /// Asks the owners of all rates again and again, until dropped.
@@ -127,7 +128,7 @@
         lock(&self.asking).remove(owner);
         let mut held = lock(&self.held);
         for grant in grants.into_iter().flatten() {
-            let rate = world.state.catalog.rate(&grant.workspace).map(split);
+            let rate = world.state.catalog.rate(&grant.workspace).map(|rate| split(rate, serving(world)));
             if let (Some((rate, _)), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
                 portion.grant(now, asked_at, grant.parts, rate, serving(world));
             }
@@ -182,7 +183,8 @@
     }
 }
 
-fn serving(world: &World) -> u64 {
+/// Number of hosts that serve callers.
+pub(super) fn serving(world: &World) -> u64 {
     serving_names(world).count() as u64
 }
 
