Reads go on while a primary is replaced; rates restart with what has refilled

Once all other members are paused, or the old primary has stepped down, no commit past their position can be acknowledged: the leader gives that out as a sample, and one of the new term with its grant. A host that left lately may have acknowledged what nobody heard of: the hosts' word is then not complete.

--- a/crates/hemlockcrank_core/src/allotment/bucket.rs
+++ b/crates/hemlockcrank_core/src/allotment/bucket.rs
@@ -49,6 +49,8 @@
     pub available_milli: u64,
     /// Tokens lent and not settled.
     pub outstanding: u64,
+    /// For how long nothing can have been lent, in milliseconds, where there was no bucket.
+    pub quiet_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -88,6 +90,12 @@
         }
     }
 
+    /// A bucket that refills since all loans of earlier owners have ended, `quiet_ms` ago.
+    pub fn since(rate: Rate, now: u64, quiet_ms: u64) -> Self {
+        let ended = now.saturating_sub(quiet_ms);
+        Self::empty(rate, ended, ended)
+    }
+
     /// Continues an old owner's bucket. Its loans cannot be settled here and end by themselves.
     pub fn resume(rate: Rate, now: u64, handover: Handover) -> Self {
         let mut bucket = Self::empty(rate, now, now);
@@ -109,6 +117,7 @@
         Handover {
             available_milli: self.available_milli,
             outstanding: self.outstanding(),
+            quiet_ms: None,
         }
     }
 
--- a/crates/hemlockcrank_core/src/sight.rs
+++ b/crates/hemlockcrank_core/src/sight.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Adds a sample that the leader itself has taken.
+    pub fn sample(&mut self, service: &Name, term: u64, sample: Sample) {
+        let floor = self.floors.entry(service.clone()).or_default();
+        floor.add(term, sample);
+    }
+
     /// Forgets a host that left the view. What it acknowledged stays.
     pub fn forget(&mut self, host: &str) {
         for hosts in self.noted.values_mut() {
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     Name,
+    floor::Sample,
     group::{Change, Edit, Group, Groups, Lead},
     session::Position,
 };
@@ -137,6 +138,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     row: Row,
+    asked_at: u64,
     at: u64,
     /// Asked while the hosts had already let go of the old primary.
     settled: bool,
@@ -146,6 +148,7 @@
 struct Asking {
     again_at: u64,
     waiting: bool,
+    asked_at: u64,
     settled: bool,
     misses: u32,
 }
@@ -158,6 +161,7 @@
     seen: BTreeMap<Name, Seen>,
     asking: BTreeMap<Name, Asking>,
     stepped: Option<Position>,
+    stepped_at: u64,
     promoted: Option<(Name, u64)>,
     resume: BTreeSet<Name>,
     proposed_at: Option<u64>,
@@ -213,7 +217,7 @@
         };
         asking.misses = 0;
         asking.again_at = now + ASK_AGAIN_MS;
-        let settled = asking.settled;
+        let (settled, asked_at) = (asking.settled, asking.asked_at);
         match order {
             Order::Resume(_) => {
                 self.resume.remove(member);
@@ -221,11 +225,15 @@
             Order::Pause(..) => {
                 self.resume.insert(member.clone());
             }
-            Order::StepDown(..) if !row.primary => self.stepped = Some(row.received),
+            Order::StepDown(..) if !row.primary => {
+                self.stepped = Some(row.received);
+                self.stepped_at = asked_at;
+            }
             _ => {}
         }
         let seen = Seen {
             row,
+            asked_at,
             at: now,
             settled,
         };
@@ -244,6 +252,49 @@
         }
     }
 
+    /// Term and position that no acknowledged commit is past, during a change: so replicas go on serving
+    /// reads of a stated age while there is no primary.
+    pub fn frozen(&self, now: u64, facts: &Facts<'_>) -> Option<(u64, Sample)> {
+        facts.group.change?;
+        let lead = facts.group.lead.as_ref()?;
+        let term = self.next_term(facts.group);
+        let others = others(facts.group);
+        let paused = others.iter().filter_map(|name| self.seen.get(name));
+        let paused: Vec<&Seen> = paused.filter(|seen| seen.row.held >= term).collect();
+        let complete = paused.len() == others.len()
+            && others.len() > facts.sync_replicas as usize
+            && facts.sync_replicas > 0;
+        let received = paused.iter().map(|seen| seen.row.received).max();
+        let received = received.filter(|_| complete);
+        let sample = if facts.settled.all {
+            let position = self.stepped.or(received)?;
+            Sample { at: now, position }
+        } else if let Some(position) = received {
+            let at = paused.iter().map(|seen| seen.asked_at).min()?;
+            Sample { at, position }
+        } else {
+            Sample {
+                at: self.stepped_at,
+                position: self.stepped?,
+            }
+        };
+        Some((lead.term, sample))
+    }
+
+    /// Term and position of a member that leads and has not been granted yet.
+    pub fn arriving(&self, now: u64, facts: &Facts<'_>) -> Option<(u64, Sample)> {
+        facts.group.change?;
+        let (member, at) = self.promoted.as_ref()?;
+        let left = facts.group.lead.as_ref().map_or(0, |lead| lead.term);
+        let seen = self.seen.get(member).filter(|seen| seen.at >= *at)?;
+        let leads = seen.row.primary && seen.row.term > left && facts.settled.all;
+        let sample = Sample {
+            at: now,
+            position: seen.row.received,
+        };
+        leads.then_some((seen.row.term, sample))
+    }
+
     fn turn(&mut self, now: u64, group: &Group) {
         self.change = group.change.map(|change| change.index);
         self.began_at = now;
@@ -507,6 +558,7 @@
             return None;
         }
         asking.waiting = true;
+        asking.asked_at = now;
         asking.settled = settled;
         Some(order)
     }
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -44,7 +44,7 @@
 /// Interval between two ticks of a host with a control disk.
 const VOTER_TICK: Duration = Duration::from_millis(25);
 /// Interval between two ticks of any other host.
-const HOST_TICK: Duration = Duration::from_millis(100);
+const HOST_TICK: Duration = Duration::from_millis(50);
 /// Interval between two questions of a fresh disk, in milliseconds.
 const FORM_MS: u64 = 200;
 /// Interval between two requests to join, in milliseconds.
--- a/crates/hemlockcrank_host/src/control/actor/oversee.rs
+++ b/crates/hemlockcrank_host/src/control/actor/oversee.rs
@@ -28,6 +28,7 @@
             return Ok(());
         };
         steward.authority.store(until, Ordering::Release);
+        steward.note_view(now, &self.state.view);
         let groups = Arc::clone(&self.state.groups);
         let mut orders = Vec::new();
         let catalog = &self.state.catalog;
@@ -43,11 +44,17 @@
                 group,
                 service,
                 sync_replicas: known.map_or(1, |known| known.sync_replicas),
-                settled: steward.sightings.settled(now, service, group, ends),
+                settled: steward.settled(now, service, group, ends),
                 failing_ms: steward.sightings.failing_ms(now, service, term),
                 quiet: false,
             };
-            let due = steward.succession(service, group).tick(now, &facts);
+            let succession = steward.succession(service, group);
+            let due = succession.tick(now, &facts);
+            let frozen = succession.frozen(now, &facts);
+            let arriving = succession.arriving(now, &facts);
+            for (term, sample) in frozen.into_iter().chain(arriving) {
+                steward.sightings.sample(service, term, sample);
+            }
             orders.extend(due.into_iter().map(|order| (service.clone(), order)));
         }
         for (service, order) in orders {
--- a/crates/hemlockcrank_host/src/control/steward.rs
+++ b/crates/hemlockcrank_host/src/control/steward.rs
@@ -16,12 +16,16 @@
 use hemlockcrank_core::{
     Name,
     group::Group,
+    membership::View,
     sight::Sightings,
-    succession::{Order, Promoted, Said, Succession},
+    succession::{Order, Promoted, Said, Settled, Succession},
 };
 
 use crate::clock::now_ms;
 
+/// Time after a change of view in which hosts' word on commits is not complete, in milliseconds.
+const VIEW_CALM_MS: u64 = 10_000;
+
 /// A boxed answer in the making.
 type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 /// Asks a member for itself.
@@ -83,6 +87,8 @@
     pub(crate) leadership: u64,
     pub(crate) sightings: Sightings,
     pub(crate) authority: Arc<AtomicU64>,
+    view: Arc<View>,
+    view_at: u64,
     successions: BTreeMap<Name, Succession>,
 }
 
@@ -93,10 +99,39 @@
             leadership,
             sightings: Sightings::new(leadership),
             authority: Arc::default(),
+            view: Arc::default(),
+            view_at: 0,
             successions: BTreeMap::new(),
         }
     }
 
+    /// Notes the hosts in view.
+    pub(crate) fn note_view(&mut self, now: u64, view: &Arc<View>) {
+        if !Arc::ptr_eq(&self.view, view) {
+            self.view = Arc::clone(view);
+            self.view_at = now;
+        }
+    }
+
+    /// How far the hosts have let go of a primary. A host that left or restarted lately may have
+    /// acknowledged what nobody else has heard of, so then the hosts' word is not complete.
+    pub(crate) fn settled<'a, I>(
+        &self,
+        now: u64,
+        service: &str,
+        group: &Group,
+        hosts: I,
+    ) -> Settled
+    where
+        I: IntoIterator<Item = (&'a Name, u64)>,
+    {
+        let settled = self.sightings.settled(now, service, group, hosts);
+        Settled {
+            exact: settled.exact && now >= self.view_at + VIEW_CALM_MS,
+            ..settled
+        }
+    }
+
     /// Changes of primary of a service.
     pub(crate) fn succession(&mut self, service: &Name, group: &Group) -> &mut Succession {
         let fresh = || Succession::new(group);
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -224,8 +224,8 @@
 
     /// Gives a bucket to its new owner, once this host knows that it is not the owner any more.
     ///
-    /// Without a bucket only an earlier incarnation of the new owner can have lent; the answer then
-    /// counts the whole burst as lent until such loans have ended.
+    /// Without a bucket only earlier incarnations of either host can have lent; the answer then says for
+    /// how long such loans have ended here.
     pub async fn hand_over(&self, workspace: &Name, index: u64) -> Option<Handover> {
         let world = self.control.reached(index).await?;
         if world.state.view.serving_owner(workspace) == Some(&self.control.host().name) {
@@ -234,7 +234,8 @@
         let Some(mut bucket) = lock(&self.buckets).remove(workspace) else {
             return Some(Handover {
                 available_milli: 0,
-                outstanding: u64::MAX,
+                outstanding: 0,
+                quiet_ms: Some(quiet_ms()),
             });
         };
         Some(bucket.hand_over(now_ms()))
@@ -291,7 +292,10 @@
                     None => None,
                 };
                 match answer {
-                    Some(Response::HandOver(Some(handover))) => Bucket::resume(rate, now, handover),
+                    Some(Response::HandOver(Some(handover))) => match handover.quiet_ms {
+                        Some(there) => Bucket::since(rate, now, there.min(quiet_ms())),
+                        None => Bucket::resume(rate, now, handover),
+                    },
                     _ => Bucket::empty(rate, tenure.since, tenure.since + OLD_OWNER_MS),
                 }
             }
@@ -338,6 +342,11 @@
     }
 }
 
+/// For how long all loans of an earlier incarnation of this host have ended, in milliseconds.
+fn quiet_ms() -> u64 {
+    now_ms().saturating_sub(LOAN_MS + LOAN_MARGIN_MS)
+}
+
 /// Rate that the owner lends: all of it, where it comes from a record.
 fn lent_rate(world: &World, workspace: &str) -> Option<Rate> {
     match world.state.catalog.rate(workspace) {
