Voters outside the seeds are reached after a restart

Ruled out: votes refused for a shorter log (the members of the group agreed, members_changed shows them). Change: with seeds, hosts are named by their IP numbers and reached by them. Event 205 shows the voters. Test: tests/seeds.rs (the second one failed before).

--- a/crates/hemlockcrank_core/src/allotment.rs
+++ b/crates/hemlockcrank_core/src/allotment.rs
@@ -18,8 +18,8 @@
 mod purse;
 
 pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
-pub use purse::{Ask, Purse, Take};
 pub use portion::{Division, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE, split};
+pub use purse::{Ask, Purse, Take};
 
 /// Life of a loan for the borrower, counted from when it asked, in milliseconds.
 pub const LOAN_MS: u64 = 400;
--- a/crates/hemlockcrank_core/src/allotment/portion.rs
+++ b/crates/hemlockcrank_core/src/allotment/portion.rs
@@ -138,7 +138,10 @@
 
     /// Parts that hosts may be using.
     pub fn in_use(&self, now: u64) -> u64 {
-        let live = self.holdings.values().filter(|holding| holding.ends_at > now);
+        let live = self
+            .holdings
+            .values()
+            .filter(|holding| holding.ends_at > now);
         live.map(|holding| holding.parts).sum()
     }
 
@@ -215,7 +218,11 @@
         let gained = self.rest + elapsed * rate.per_second * self.parts;
         self.rest = gained % WHOLE;
         let level = self.level_milli + gained / WHOLE;
-        let room = if now < self.ends_at { self.room_milli(rate, hosts) } else { 0 };
+        let room = if now < self.ends_at {
+            self.room_milli(rate, hosts)
+        } else {
+            0
+        };
         self.level_milli = level.min(room);
     }
 
--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -126,7 +126,10 @@
     /// The one serving host that owns `key`: hosts that serve a platform's control are left out.
     pub fn serving_owner(&self, key: &str) -> Option<&Name> {
         let key = hash(key);
-        let serving = self.hosts.values().filter(|listed| listed.host.control.is_none());
+        let serving = self
+            .hosts
+            .values()
+            .filter(|listed| listed.host.control.is_none());
         let best = serving.max_by_key(|listed| score(key, listed));
         best.map(|listed| &listed.host.name)
     }
--- a/crates/hemlockcrank_core/tests/allotment/portions.rs
+++ b/crates/hemlockcrank_core/tests/allotment/portions.rs
@@ -95,8 +95,12 @@
     portion.ask(0, "w".into());
     portion.grant(10, 0, WHOLE / 2, RATE, 4);
 
-    let early = (0..40).filter(|turn| portion.take(1_000 + turn * 20, RATE, 4)).count();
-    let late = (0..40).filter(|turn| portion.take(PORTION_MS + turn * 20, RATE, 4)).count();
+    let early = (0..40)
+        .filter(|turn| portion.take(1_000 + turn * 20, RATE, 4))
+        .count();
+    let late = (0..40)
+        .filter(|turn| portion.take(PORTION_MS + turn * 20, RATE, 4))
+        .count();
 
     assert!(early > 30, "{early}");
     assert_eq!(late, 0);
@@ -121,8 +125,10 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut chance = |count: u32| random.next_u32().is_multiple_of(count);
         let mut division = open_division();
-        let mut portions: BTreeMap<Name, Portion> =
-            names().into_iter().map(|name| (name, Portion::default())).collect();
+        let mut portions: BTreeMap<Name, Portion> = names()
+            .into_iter()
+            .map(|name| (name, Portion::default()))
+            .collect();
         let mut taken: Vec<u64> = Vec::new();
         for now in (10..30_000).step_by(10) {
             if chance(700) {
@@ -148,9 +154,15 @@
             }
         }
         for (index, start) in taken.iter().enumerate() {
-            let within = taken[index..].iter().take_while(|at| **at < start + 5_000).count() as u64;
+            let within = taken[index..]
+                .iter()
+                .take_while(|at| **at < start + 5_000)
+                .count() as u64;
             let allowed = 5 * RATE.per_second + RATE.burst + HOSTS.len() as u64;
-            assert!(within <= allowed, "seed {seed}: {within} operations from {start} on");
+            assert!(
+                within <= allowed,
+                "seed {seed}: {within} operations from {start} on"
+            );
         }
     }
 }
--- a/crates/hemlockcrank_host/src/context.rs
+++ b/crates/hemlockcrank_host/src/context.rs
@@ -12,8 +12,14 @@
 use pgwire::messages::startup::SecretKey;
 
 use crate::{
-    control::Control, engine::Site, event::Timeline, limits::{Limits, Portions}, metrics::Metrics,
-    peers::Peers, settings::Settings, upstream::Upstreams,
+    control::Control,
+    engine::Site,
+    event::Timeline,
+    limits::{Limits, Portions},
+    metrics::Metrics,
+    peers::Peers,
+    settings::Settings,
+    upstream::Upstreams,
 };
 
 /// Where a caller's statement runs now: member address and the key for a cancel request.
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -6,11 +6,16 @@
 mod oversee;
 mod serve;
 
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use hemlockcrank_core::{
     Name,
-    consensus::{Envelope, Input, Role, Timing},
+    consensus::{Config, Envelope, Id, Input, Role, Timing},
     failover::Report,
     membership::Host,
     state::{Command, Reply, State},
@@ -136,6 +141,7 @@
     held: Vec<Held>,
     duties: Option<Duties>,
     role: Option<Role>,
+    members: Config,
     reports: Vec<Report>,
     board: Arc<Board>,
     overseer: Option<Overseer>,
@@ -209,6 +215,7 @@
             held: Vec::new(),
             duties: None,
             role: None,
+            members: Config::default(),
             reports: Vec::new(),
             board: arguments.board,
             overseer: arguments.overseer,
@@ -280,6 +287,20 @@
         let role = node.map(hemlockcrank_core::consensus::Node::role);
         let leads = node.is_some_and(hemlockcrank_core::consensus::Node::is_settled);
         let term = node.map_or(0, hemlockcrank_core::consensus::Node::term);
+        if let Some(members) = node.map(|node| node.log().config())
+            && *members != self.members
+        {
+            self.members = members.clone();
+            let show = |ids: &BTreeSet<Id>| {
+                let ids: Vec<String> = ids.iter().map(ToString::to_string).collect();
+                ids.join(",")
+            };
+            let fields: [(&str, &dyn std::fmt::Display); 2] = [
+                ("voters", &show(&members.voters)),
+                ("learners", &show(&members.learners)),
+            ];
+            self.timeline.emit(Event::MembersChanged, &fields);
+        }
         if role != self.role {
             self.role = role;
             if let Some(role) = role {
@@ -392,7 +413,10 @@
                 let newest = self.leads(now_ms()).then_some(self.state.index);
                 reply(port, Response::Newest(newest));
             }
-            Request::Borrow { .. } | Request::Portions { .. } | Request::HandOver { .. } | Request::Events => {
+            Request::Borrow { .. }
+            | Request::Portions { .. }
+            | Request::HandOver { .. }
+            | Request::Events => {
                 reply(port, Response::Unavailable);
             }
         }
--- a/crates/hemlockcrank_host/src/control/steward.rs
+++ b/crates/hemlockcrank_host/src/control/steward.rs
@@ -115,13 +115,7 @@
 
     /// How far the hosts have let go of a primary. A host that left or restarted lately may have
     /// acknowledged what nobody else has heard of, so then the hosts' word is not complete.
-    pub(crate) fn settled<'a, I>(
-        &self,
-        now: u64,
-        service: &str,
-        group: &Group,
-        hosts: I,
-    ) -> Settled
+    pub(crate) fn settled<'a, I>(&self, now: u64, service: &str, group: &Group, hosts: I) -> Settled
     where
         I: IntoIterator<Item = (&'a Name, u64)>,
     {
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -99,7 +99,9 @@
         if self.portions.take(&operation.workspace) {
             return Ok(());
         }
-        let admitted = self.limits.admit(&operation.workspace, operation.patience());
+        let admitted = self
+            .limits
+            .admit(&operation.workspace, operation.patience());
         admitted.await.map_err(|refusal| match refusal {
             limits::Refusal::OverRate => Refusal::new(Code::TooMany, "over the rate"),
             limits::Refusal::OwnerUnreachable => Refusal::new(Code::Busy, "rate unknown"),
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -42,6 +42,8 @@
     LeaseHeld = 203,
     /// The lease for keyed requests ran out.
     LeaseLost = 204,
+    /// The voters or learners of the control group changed.
+    MembersChanged = 205,
     /// A host came into the committed view.
     HostUp = 210,
     /// A host left the committed view.
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -128,7 +128,11 @@
         lock(&self.asking).remove(owner);
         let mut held = lock(&self.held);
         for grant in grants.into_iter().flatten() {
-            let rate = world.state.catalog.rate(&grant.workspace).map(|rate| split(rate, serving(world)));
+            let rate = world
+                .state
+                .catalog
+                .rate(&grant.workspace)
+                .map(|rate| split(rate, serving(world)));
             if let (Some((rate, _)), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
                 portion.grant(now, asked_at, grant.parts, rate, serving(world));
             }
@@ -162,7 +166,10 @@
                 division: Division::new(now, serving_names(&world)),
             };
             let entry = owned.entry(ask.workspace.clone()).or_insert_with(fresh);
-            debug_assert!(entry.index <= world.state.index, "the view does not go back");
+            debug_assert!(
+                entry.index <= world.state.index,
+                "the view does not go back"
+            );
             entry.division.keep(|name| view.get(name).is_some());
             let parts = entry.division.ask(now, host, ask, serving(&world));
             grants.push(PortionGrant {
--- a/crates/hemlockcrank_host/src/peers.rs
+++ b/crates/hemlockcrank_host/src/peers.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub struct Peers {
     listed: HashMap<Name, SocketAddr>,
+    /// Peer port of all hosts, where hosts are named by their IP numbers.
+    port: Option<u16>,
     timeline: Arc<Timeline>,
     proof: Name,
     clients: Mutex<HashMap<SocketAddr, Arc<Client>>>,
@@ -30,6 +32,7 @@
         let listed = settings.peers.iter();
         Self {
             listed: listed.map(|p| (p.host.clone(), p.address)).collect(),
+            port: (!settings.seeds.is_empty()).then(|| settings.listen.peer.port()),
             timeline,
             proof: proof(&settings.secrets.peer),
             clients: Mutex::default(),
@@ -41,10 +44,12 @@
         self.proof.clone()
     }
 
-    /// Address of a host: the one in the settings, else the one it gave when it came into the view.
+    /// Address of a host: the one in the settings, else the one it gave when it came into the view, else
+    /// the one that its name says. After a restart a voter knows others by name alone.
     pub fn address_of(&self, host: &str, view: &View) -> Option<SocketAddr> {
         let listed = self.listed.get(host).copied();
-        listed.or_else(|| view.get(host).map(|host| host.peer))
+        let known = listed.or_else(|| view.get(host).map(|host| host.peer));
+        known.or_else(|| Some(SocketAddr::new(host.parse().ok()?, self.port?)))
     }
 
     /// Makes one call.
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -192,7 +192,7 @@
     /// Other hosts to begin with; later ones are learnt.
     #[serde(default)]
     pub peers: Vec<Peer>,
-    /// More hosts to begin with, each called by its IP number: only that part of the address counts, the
+    /// More hosts to begin with, all named by their IP numbers: only that part of the address counts, the
     /// port is that of the own peer address.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -320,6 +320,10 @@
                 return fail("bootstrap", problem, "list it under `peers` too");
             }
         }
+        if !self.seeds.is_empty() && self.host.parse() != Ok(self.listen.peer.ip()) {
+            let hint = "with `seeds`, a host is named by the IP number of its peer address";
+            return fail("host", format!("`{}` is another name", self.host), hint);
+        }
         let secrets = [
             ("secrets.peer", &self.secrets.peer),
             ("secrets.operator", &self.secrets.operator),
--- /dev/null
+++ b/crates/hemlockcrank_host/tests/seeds.rs
@@ -0,0 +1,99 @@
+//! Hosts that are known by seeds alone.
+
+use std::{path::Path, sync::Arc};
+
+use hemlockcrank_core::membership::View;
+use hemlockcrank_host::{Settings, event::Timeline, peers::Peers};
+
+fn settings(host: &str, found: bool) -> String {
+    format!(
+        r#"{{
+            "host": "{host}", "zone": "z",
+            "listen": {{"peer": "10.0.0.1:7000", "operator": "10.0.0.1:7001"}},
+            "data_dir": "/tmp/unused",
+            "seeds": ["10.0.0.1:8400", "10.0.0.2:8400", "10.0.0.3:8400"],
+            "found_from_seeds": {found},
+            "platform": {{}},
+            "secrets": {{"peer": "12345678", "operator": "12345678", "platform": "12345678",
+                "key_digest": "12345678"}},
+            "upstream": {{"user": "u", "password": "p"}}
+        }}"#
+    )
+}
+
+fn peers(settings: &Settings) -> Peers {
+    let timeline = Arc::new(Timeline::new(settings.host.clone()));
+    Peers::new(timeline, settings)
+}
+
+#[test]
+fn seeds_are_peers_at_the_own_peer_port_and_found_the_group_once() {
+    let first = Settings::parse("first", &settings("10.0.0.1", true)).expect("settings");
+    let later = Settings::parse("later", &settings("10.0.0.1", false)).expect("settings");
+
+    let founders: Vec<&str> = first.bootstrap.iter().map(|name| &**name).collect();
+    assert_eq!(founders, ["10.0.0.1", "10.0.0.2", "10.0.0.3"]);
+    assert_eq!(first.peers.len(), 2);
+    assert_eq!(
+        first.peers[0].address,
+        "10.0.0.2:7000".parse().expect("address")
+    );
+    assert!(later.bootstrap.is_empty());
+}
+
+/// A voter that restarts has an empty view until it hears a leader, and its group may hold voters that
+/// no seed names: without their addresses two voters of three could never elect one.
+#[test]
+fn a_voter_outside_the_seeds_is_reached_with_an_empty_view() {
+    let settings = Settings::parse("first", &settings("10.0.0.1", false)).expect("settings");
+
+    let address = peers(&settings).address_of("10.0.0.9", &View::default());
+
+    assert_eq!(address, Some("10.0.0.9:7000".parse().expect("address")));
+}
+
+#[test]
+fn a_host_with_seeds_and_another_name_is_refused() {
+    let error = Settings::parse("odd", &settings("entry-1", false)).expect_err("another name");
+
+    assert!(error.to_string().contains("host"), "{error}");
+}
+
+#[test]
+fn the_template_of_the_deploy_folder_is_read_once_rendered() {
+    let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/settings.json");
+    let text = std::fs::read_to_string(template).expect("template");
+    let rendered = [
+        ("{{ip}}", "10.0.0.1"),
+        ("{{zone}}", "z"),
+        (
+            "{{#listen.front}}\"caller\": \"{{.}}\",{{/listen.front}}",
+            "\"caller\": \"10.0.0.1:80\",",
+        ),
+        ("{{clusterPortRange.0}}", "7000"),
+        ("{{clusterPortRange.1}}", "7015"),
+        ("{{#dataDir}}\"data_dir\": \"{{.}}\",{{/dataDir}}", ""),
+        ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.0.0.2:8400\""),
+        ("{{bootstrap|json}}", "false"),
+        (
+            "{{#listen.control}}\"control\": \"{{.}}\",{{/listen.control}}",
+            "",
+        ),
+        (
+            "{{#listen.ready}}\"ready\": \"{{.}}\",{{/listen.ready}}",
+            "\"ready\": \"10.0.0.1:81\",",
+        ),
+        ("{{cloudApi.addr|json}}", "\"10.9.0.1:90\""),
+    ];
+    let text = rendered
+        .iter()
+        .fold(text, |text, (from, to)| text.replace(from, to));
+
+    let settings = Settings::parse("rendered", &text).expect("good settings");
+
+    assert!(
+        settings
+            .platform
+            .is_some_and(|platform| platform.ready.is_some())
+    );
+}
