A replica that leaves takes the proof of all others along

Ruled out: a member that forgot its pause (none restarted), a wrong term. Change: that proof needs that no member left during the change or 3 s before it; else the old primary or the hosts' word decides, for 20 s. Test: succession steps (failed first).

--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -50,6 +50,10 @@
 const PROMOTE_AGAIN_MS: u64 = 1_500;
 /// Pause before the same edit is proposed again, in milliseconds.
 const PROPOSE_AGAIN_MS: u64 = 500;
+/// Time after a member left in which commits may stand on the primary alone, in milliseconds.
+const SHRUNK_CALM_MS: u64 = 3_000;
+/// Longest wait for a primary that may hold such commits alone, in milliseconds.
+const SHRUNK_WAIT_MS: u64 = 20_000;
 /// Pause after a change before the next planned one, in milliseconds.
 const PLANNED_PAUSE_MS: u64 = 500;
 
@@ -168,6 +172,9 @@
     called_at: Option<u64>,
     first_at: Option<u64>,
     planned_at: u64,
+    /// Departure of a member that was seen last, and when.
+    shrunk: u64,
+    shrunk_at: Option<u64>,
 }
 
 impl Succession {
@@ -186,6 +193,10 @@
     /// What to do at `now`.
     pub fn tick(&mut self, now: u64, facts: &Facts<'_>) -> Vec<Order> {
         let group = facts.group;
+        if self.shrunk != group.shrunk {
+            self.shrunk = group.shrunk;
+            self.shrunk_at = Some(now);
+        }
         self.resume
             .retain(|member| group.members.contains_key(member));
         if group.change.map(|change| change.index) != self.change {
@@ -261,7 +272,8 @@
         let others = others(facts.group);
         let paused = others.iter().filter_map(|name| self.seen.get(name));
         let paused: Vec<&Seen> = paused.filter(|seen| seen.row.held >= term).collect();
-        let complete = paused.len() == others.len()
+        let complete = self.is_whole(now, facts.group)
+            && paused.len() == others.len()
             && others.len() > facts.sync_replicas as usize
             && facts.sync_replicas > 0;
         let received = paused.iter().map(|seen| seen.row.received).max();
@@ -457,6 +469,17 @@
         )
     }
 
+    /// Whether all that was acknowledged in this term is held by the present members: a member that left
+    /// takes its log along, which may have been the only second copy of a commit.
+    fn is_whole(&self, now: u64, group: &Group) -> bool {
+        let during = group
+            .change
+            .is_some_and(|change| group.shrunk > change.index);
+        let calm = |at| at + SHRUNK_CALM_MS <= self.began_at;
+        let whole = !during && self.shrunk_at.is_none_or(calm);
+        whole || now >= self.began_at + SHRUNK_WAIT_MS
+    }
+
     /// A member that surely holds every acknowledged commit.
     fn candidate(&self, now: u64, facts: &Facts<'_>, term: u64) -> Option<Name> {
         let group = facts.group;
@@ -468,7 +491,8 @@
             .collect();
         let paused =
             |seen: &Seen| seen.row.held >= term && (seen.settled || now < seen.at + PAUSE_FRESH_MS);
-        let complete = rows.len() == others.len()
+        let complete = self.is_whole(now, group)
+            && rows.len() == others.len()
             && rows.iter().all(|(_, seen)| paused(seen))
             && others.len() > facts.sync_replicas as usize
             && facts.sync_replicas > 0;
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -104,6 +104,11 @@
     }
 
     pub(crate) fn announce(&mut self, name: &str, standing: Standing) {
+        let fresh = Real {
+            term: 1,
+            ..Real::default()
+        };
+        self.real.entry(name.into()).or_insert(fresh);
         let age = Age {
             born: 1,
             seq: self.state.index,
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -117,6 +117,36 @@
     assert_eq!(&*site.lead().member, "a", "it has come back with its log");
 }
 
+/// The host is cut off together with the primary and the leaving replica, so nobody else knows what it
+/// has acknowledged on these two.
+#[test]
+fn a_replica_that_leaves_during_a_change_takes_the_proof_of_all_others_along() {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    site.write("a", &["b"]);
+    site.real("a").far = true;
+    site.real("b").far = true;
+    site.failing_ms = Some(500);
+    site.ticks(SECOND);
+    site.release(false);
+    let age = Age {
+        born: 1,
+        seq: u64::MAX,
+    };
+
+    site.commit(Edit::Depart {
+        member: "b".into(),
+        age,
+    });
+    site.announce("d", Standing::Ready);
+    site.ticks(4 * SECOND);
+    assert!(site.change().is_some(), "`c` and `d` lack the commit");
+    site.real("a").far = false;
+    site.ticks(4 * SECOND);
+
+    assert_eq!(&*site.lead().member, "a");
+}
+
 #[test]
 fn a_primary_cut_from_its_replicas_steps_down_and_paused_replicas_go_on() {
     let mut site = Site::new();
