Workspaces keep their connections: the place of the least used one is taken, own ones are waited for

Change: core::places decides: least used workspace first, 40 ms of waiting for the own connection; opening weighs 40 ms in the choice of members. A place handed to a session that has just gone goes to the next. Test: tests/places.rs, with the load of one host at one member.

--- a/crates/hemlockcrank_core/src/balance.rs
+++ b/crates/hemlockcrank_core/src/balance.rs
@@ -7,7 +7,7 @@
 /// Addition for a member in another availability zone, in milliseconds.
 const REMOTE_MS: u64 = 2;
 /// Addition for a member without a connection at hand, in milliseconds.
-const OPEN_MS: u64 = 20;
+const OPEN_MS: u64 = 40;
 /// Addition for the primary, in milliseconds.
 const PRIMARY_MS: u64 = 25;
 /// Expected latency of a member that has not answered yet, in milliseconds.
--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod lease;
 pub mod membership;
 pub mod placement;
+pub mod places;
 pub mod queue;
 pub mod record;
 pub mod request;
--- /dev/null
+++ b/crates/hemlockcrank_core/src/places.rs
@@ -0,0 +1,294 @@
+//! A host's few connections to one member, and who gets them.
+//!
+//! A connection belongs to one workspace for life, and opening one costs the member more than a short
+//! statement does. So a workspace that has a connection in use rather waits a moment for it than takes
+//! another's place; and when a place is taken, it is that of the workspace which uses its connections
+//! least, not of the one whose turn was longest ago.
+//!
+//! ```
+//! use hemlockcrank_core::places::{Places, Take};
+//!
+//! let mut places = Places::new(1);
+//! let first = places.take(0, &"loud".into(), 0, false);
+//! assert_eq!(first, Take::Open);
+//! let link = places.opened(0, "loud".into());
+//! assert_eq!(places.take(1, &"loud".into(), 0, false), Take::Wait);
+//! places.release(2, link);
+//! ```
+
+use std::collections::BTreeMap;
+
+use crate::Name;
+
+/// Most sessions that may wait.
+const MAX_WAITING: usize = 512;
+/// Time after which half of a workspace's use is forgotten, in milliseconds.
+const HALF_LIFE_MS: u64 = 2_000;
+/// Weight of one use.
+const USE: u64 = 16;
+/// Use of another workspace, relative to the taker's own, up to which its place is taken, in percent.
+const TAKE_PERCENT: u64 = 150;
+
+/// A connection of the pool.
+pub type Link = u64;
+/// A session that waits, by rank and arrival.
+pub type Ticket = (u32, u64);
+
+/// Answer to [`Places::take`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Take {
+    /// Use this connection.
+    Reuse(Link),
+    /// Open one.
+    Open,
+    /// Close this connection, then open one.
+    Replace(Link),
+    /// None is to be had now.
+    Wait,
+}
+
+/// What becomes of a connection, or of a place, that is given back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// It stays free.
+    Keep,
+    /// The waiting session uses it.
+    Give(Ticket),
+    /// Close it; the waiting session opens one in its place.
+    Replace(Ticket),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Held {
+    workspace: Name,
+    /// Stands for the session values that the connection has.
+    values: u64,
+    used_at: u64,
+    free: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Use {
+    weight: u64,
+    halved_at: u64,
+}
+
+/// All places of one host at one member.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Places {
+    capacity: usize,
+    crowded_until: u64,
+    opening: usize,
+    held: BTreeMap<Link, Held>,
+    next_link: Link,
+    waiting: BTreeMap<Ticket, Name>,
+    next_ticket: u64,
+    uses: BTreeMap<Name, Use>,
+}
+
+impl Places {
+    /// No connection yet, and room for `capacity`.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Changes the room; connections over it are closed as they come free.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
+    /// The member refused one more connection: none is opened before `until`.
+    pub fn crowd(&mut self, until: u64) {
+        self.crowded_until = until;
+    }
+
+    /// Whether a connection of the workspace is free.
+    pub fn has_free(&self, workspace: &Name) -> bool {
+        let mut held = self.held.values();
+        held.any(|held| held.free && held.workspace == *workspace)
+    }
+
+    /// Takes a connection or a place. A session that has waited may `insist`: it then does not wait for a
+    /// connection of its own workspace any longer.
+    pub fn take(&mut self, now: u64, workspace: &Name, values: u64, insist: bool) -> Take {
+        if let Some(link) = self.best_free(workspace, values) {
+            self.count(now, workspace);
+            if let Some(held) = self.held.get_mut(&link) {
+                held.free = false;
+            }
+            return Take::Reuse(link);
+        }
+        let full = self.held.len() + self.opening >= self.capacity || now < self.crowded_until;
+        if !full {
+            self.count(now, workspace);
+            self.opening += 1;
+            return Take::Open;
+        }
+        let own = self.held.values().any(|held| held.workspace == *workspace);
+        if own && !insist {
+            return Take::Wait;
+        }
+        match self.least_used(now, workspace, insist) {
+            Some(link) => {
+                self.count(now, workspace);
+                self.held.remove(&link);
+                self.opening += 1;
+                Take::Replace(link)
+            }
+            None => Take::Wait,
+        }
+    }
+
+    /// Puts a session into the queue; `None` when that is full.
+    pub fn wait(&mut self, workspace: Name, rank: u32) -> Option<Ticket> {
+        if self.waiting.len() >= MAX_WAITING {
+            return None;
+        }
+        let ticket = (rank, self.next_ticket);
+        self.next_ticket += 1;
+        self.waiting.insert(ticket, workspace);
+        Some(ticket)
+    }
+
+    /// Takes a session out of the queue; returns whether it still waited.
+    pub fn leave(&mut self, ticket: Ticket) -> bool {
+        self.waiting.remove(&ticket).is_some()
+    }
+
+    /// A connection was opened; it is in use.
+    pub fn opened(&mut self, now: u64, workspace: Name) -> Link {
+        self.opening = self.opening.saturating_sub(1);
+        let link = self.next_link;
+        self.next_link += 1;
+        let held = Held {
+            workspace,
+            values: 0,
+            used_at: now,
+            free: false,
+        };
+        self.held.insert(link, held);
+        link
+    }
+
+    /// A connection could not be opened; the session that gets its place.
+    pub fn not_opened(&mut self) -> Option<Ticket> {
+        self.opening = self.opening.saturating_sub(1);
+        self.hand_place_on()
+    }
+
+    /// A connection has closed; the session that gets its place.
+    pub fn closed(&mut self, link: Link) -> Option<Ticket> {
+        self.held.remove(&link)?;
+        self.hand_place_on()
+    }
+
+    /// Notes the session values of a connection.
+    pub fn set_values(&mut self, link: Link, values: u64) {
+        if let Some(held) = self.held.get_mut(&link) {
+            held.values = values;
+        }
+    }
+
+    /// A connection is not used any more.
+    pub fn release(&mut self, now: u64, link: Link) -> Release {
+        let Some(held) = self.held.get_mut(&link) else {
+            return Release::Keep;
+        };
+        held.used_at = now;
+        let workspace = held.workspace.clone();
+        let Some((first, _)) = self.waiting.first_key_value().map(|(t, w)| (*t, w)) else {
+            held.free = true;
+            return Release::Keep;
+        };
+        let mut rank = self
+            .waiting
+            .iter()
+            .take_while(|(ticket, _)| ticket.0 == first.0);
+        let same = rank.find(|(_, waiting)| **waiting == workspace);
+        let same = same.map(|(ticket, _)| *ticket);
+        let ticket = same.unwrap_or(first);
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            self.count(now, &waiting);
+        }
+        if same.is_some() {
+            return Release::Give(ticket);
+        }
+        self.held.remove(&link);
+        self.opening += 1;
+        Release::Replace(ticket)
+    }
+
+    /// Connections that are free, to be closed all together.
+    pub fn drop_free(&mut self) -> Vec<Link> {
+        let free = self.held.iter().filter(|(_, held)| held.free);
+        let free: Vec<Link> = free.map(|(link, _)| *link).collect();
+        for link in &free {
+            self.held.remove(link);
+        }
+        free
+    }
+
+    fn hand_place_on(&mut self) -> Option<Ticket> {
+        if self.held.len() + self.opening >= self.capacity {
+            return None;
+        }
+        let (ticket, _) = self.waiting.pop_first()?;
+        self.opening += 1;
+        Some(ticket)
+    }
+
+    fn best_free(&self, workspace: &Name, values: u64) -> Option<Link> {
+        let own = self.held.iter();
+        let own = own.filter(|(_, held)| held.free && held.workspace == *workspace);
+        let best = own.max_by_key(|(_, held)| (held.values == values, held.used_at));
+        best.map(|(link, _)| *link)
+    }
+
+    /// Free connection whose place is taken: of the least used workspace, unless that is used much more
+    /// than the taker's own.
+    fn least_used(&mut self, now: u64, taker: &Name, insist: bool) -> Option<Link> {
+        let own = self.weight(now, taker).max(USE);
+        let free: Vec<(Link, Name, u64)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.free)
+            .map(|(link, held)| (*link, held.workspace.clone(), held.used_at))
+            .collect();
+        let mut best: Option<(u64, u64, Link)> = None;
+        for (link, workspace, used_at) in free {
+            let many = self
+                .held
+                .values()
+                .filter(|held| held.workspace == workspace)
+                .count() as u64;
+            let each = self.weight(now, &workspace) / many.max(1);
+            let rank = (each, used_at, link);
+            if best.is_none_or(|best| rank < best) {
+                best = Some(rank);
+            }
+        }
+        let (each, _, link) = best?;
+        (insist || each * 100 <= own * TAKE_PERCENT).then_some(link)
+    }
+
+    fn weight(&mut self, now: u64, workspace: &Name) -> u64 {
+        let used = self.uses.entry(workspace.clone()).or_default();
+        while used.weight > 0 && now >= used.halved_at + HALF_LIFE_MS {
+            used.weight /= 2;
+            used.halved_at += HALF_LIFE_MS;
+        }
+        used.weight
+    }
+
+    fn count(&mut self, now: u64, workspace: &Name) {
+        self.weight(now, workspace);
+        let used = self.uses.entry(workspace.clone()).or_default();
+        if used.weight == 0 {
+            used.halved_at = now;
+        }
+        used.weight += USE;
+    }
+}
--- /dev/null
+++ b/crates/hemlockcrank_core/tests/places.rs
@@ -0,0 +1,136 @@
+//! Few connections, many workspaces: who keeps a connection, who waits, who takes a place.
+
+use hemlockcrank_core::{
+    Name,
+    places::{Link, Places, Release, Take},
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+
+fn open(places: &mut Places, now: u64, workspace: &str) -> Link {
+    let workspace = Name::from(workspace);
+    assert_eq!(places.take(now, &workspace, 0, false), Take::Open);
+    places.opened(now, workspace)
+}
+
+#[test]
+fn a_free_connection_of_the_workspace_is_used_again() {
+    let mut places = Places::new(2);
+    let link = open(&mut places, 0, "a");
+    places.release(1, link);
+
+    assert_eq!(places.take(2, &"a".into(), 0, false), Take::Reuse(link));
+}
+
+#[test]
+fn a_workspace_waits_for_its_own_connection_and_gets_it() {
+    let mut places = Places::new(2);
+    let own = open(&mut places, 0, "a");
+    let other = open(&mut places, 0, "b");
+    places.release(1, other);
+
+    assert_eq!(places.take(2, &"a".into(), 0, false), Take::Wait);
+    let ticket = places.wait("a".into(), 1).expect("room to wait");
+
+    assert_eq!(places.release(3, own), Release::Give(ticket));
+}
+
+#[test]
+fn a_session_that_has_waited_takes_a_free_place() {
+    let mut places = Places::new(2);
+    open(&mut places, 0, "a");
+    let other = open(&mut places, 0, "b");
+    places.release(1, other);
+
+    assert_eq!(places.take(2, &"a".into(), 0, true), Take::Replace(other));
+}
+
+#[test]
+fn the_place_of_the_least_used_workspace_is_taken() {
+    let mut places = Places::new(2);
+    let loud = open(&mut places, 0, "loud");
+    let quiet = open(&mut places, 0, "quiet");
+    places.release(1, quiet);
+    places.release(2, loud);
+    for now in 3..20 {
+        assert_eq!(
+            places.take(now, &"loud".into(), 0, false),
+            Take::Reuse(loud)
+        );
+        places.release(now, loud);
+    }
+
+    let taken = places.take(30, &"new".into(), 0, false);
+
+    assert_eq!(taken, Take::Replace(quiet));
+}
+
+#[test]
+fn a_waiting_session_of_a_higher_rank_goes_first() {
+    let mut places = Places::new(1);
+    let link = open(&mut places, 0, "a");
+    let low = places.wait("a".into(), 2).expect("room");
+    let high = places.wait("b".into(), 1).expect("room");
+
+    assert_eq!(places.release(1, link), Release::Replace(high));
+    let fresh = places.opened(2, "b".into());
+    assert_eq!(places.release(3, fresh), Release::Replace(low));
+}
+
+#[test]
+fn a_place_that_did_not_open_goes_to_the_next() {
+    let mut places = Places::new(1);
+    assert_eq!(places.take(0, &"a".into(), 0, false), Take::Open);
+    let ticket = places.wait("b".into(), 1).expect("room");
+
+    assert_eq!(places.not_opened(), Some(ticket));
+}
+
+/// Eight workspaces of unequal size before three connections: the load of one host at one member. Counts
+/// how many statements open a connection, and that there are never more than three.
+#[test]
+fn large_workspaces_keep_their_connections() {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut places = Places::new(3);
+    let mut busy: Vec<(u64, Link)> = Vec::new();
+    let mut opened = 0_u32;
+    let mut served = 0_u32;
+    for now in (0..60_000).step_by(10) {
+        let (done, still): (Vec<_>, Vec<_>) = busy.into_iter().partition(|(end, _)| *end <= now);
+        busy = still;
+        for (_, link) in done {
+            assert_eq!(
+                places.release(now, link),
+                Release::Keep,
+                "nobody waits here"
+            );
+        }
+        if !random.next_u32().is_multiple_of(4) {
+            continue;
+        }
+        let draw = random.next_u32() % 100;
+        let workspace: Name = match draw {
+            0..40 => "large-1".into(),
+            40..75 => "large-2".into(),
+            _ => format!("small-{}", draw % 6).into(),
+        };
+        let link = match places.take(now, &workspace, 0, false) {
+            Take::Reuse(link) => link,
+            Take::Open | Take::Replace(_) => {
+                opened += 1;
+                places.opened(now, workspace)
+            }
+            Take::Wait => continue,
+        };
+        served += 1;
+        busy.push((now + 20, link));
+        assert!(busy.len() <= 3);
+    }
+
+    assert!(
+        opened * 100 < served * 45,
+        "{opened} of {served} opened one"
+    );
+}
--- a/crates/hemlockcrank_host/src/engine/link.rs
+++ b/crates/hemlockcrank_host/src/engine/link.rs
@@ -62,12 +62,10 @@
     stream: TcpStream,
     input: BytesMut,
     dialect: Dialect,
-    pub(crate) workspace: Name,
     pub(crate) values: Values,
     prepared: HashSet<Name>,
     /// Statement outside a transaction left the session in one that failed.
     spoilt: bool,
-    pub(crate) used_at: u64,
 }
 
 impl Link {
@@ -107,11 +105,9 @@
             stream,
             input: BytesMut::new(),
             dialect,
-            workspace: workspace.clone(),
             values: Values::new(),
             prepared: HashSet::new(),
             spoilt: false,
-            used_at: 0,
         })
     }
 
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -1,16 +1,20 @@
 //! Connections to one member, shared by all sessions of this host.
 //!
-//! A member accepts few connections from all hosts together, so each host keeps to its part. Whoever
-//! finds none free waits in order of priority; a connection that is given back goes to a waiter of the
-//! same workspace where one waits in the first rank, else it is closed for a waiter of another.
+//! Who gets which connection is decided by [`hemlockcrank_core::places`]; here are the connections
+//! themselves and the sessions that wait.
 
 use std::{
-    collections::BTreeMap,
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use hemlockcrank_core::{Name, balance::Load};
+use hemlockcrank_core::{
+    Name,
+    balance::Load,
+    places::{Places, Release, Take, Ticket},
+};
 use tokio::{sync::oneshot, time::timeout};
 
 use super::{
@@ -23,8 +27,8 @@
 const OPEN_LIMIT: Duration = Duration::from_millis(600);
 /// Time for which a refused connection lowers the limit, in milliseconds.
 const CROWDED_MS: u64 = 300;
-/// Most sessions that may wait for one member.
-const MAX_WAITING: usize = 512;
+/// Wait for a connection of the own workspace, before another's place is taken.
+const OWN_WAIT: Duration = Duration::from_millis(40);
 
 /// Why there is no connection. Nothing has run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,26 +49,18 @@
     pub(crate) priority: u32,
 }
 
+/// A connection, or the right to open one.
 #[derive(Debug)]
 enum Given {
-    Link(Box<Link>),
-    Permit,
-}
-
-#[derive(Debug)]
-struct Waiter {
-    workspace: Name,
-    give: oneshot::Sender<Given>,
+    Link(u64, Box<Link>),
+    Place,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
-    idle: Vec<Link>,
-    open: usize,
-    capacity: usize,
-    crowded_until: u64,
-    waiting: BTreeMap<(u32, u64), Waiter>,
-    next: u64,
+    places: Places,
+    free: HashMap<u64, Link>,
+    waiting: HashMap<Ticket, oneshot::Sender<Given>>,
     load: Load,
 }
 
@@ -76,27 +72,18 @@
     inner: Mutex<Inner>,
 }
 
-/// Work at a member, counted until dropped.
-#[derive(Debug)]
-pub(crate) struct Busy(Arc<Pool>);
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.note(Load::end);
-    }
-}
-
 /// A connection in use; given back when dropped, unless it was spoilt.
 #[derive(Debug)]
 pub(crate) struct Loan {
     pool: Arc<Pool>,
+    number: u64,
     link: Option<Link>,
 }
 
 impl Pool {
     pub(crate) fn new(dialect: Dialect, target: Target, capacity: usize) -> Arc<Self> {
         let inner = Inner {
-            capacity,
+            places: Places::new(capacity),
             ..Inner::default()
         };
         Arc::new(Self {
@@ -108,7 +95,7 @@
 
     /// Changes how many connections this host may have.
     pub(crate) fn set_capacity(&self, capacity: usize) {
-        lock(&self.inner).capacity = capacity;
+        lock(&self.inner).places.set_capacity(capacity);
     }
 
     /// What this host has seen of the member.
@@ -132,17 +119,14 @@
 
     /// Whether a connection for the workspace is free.
     pub(crate) fn has_idle(&self, workspace: &Name) -> bool {
-        lock(&self.inner)
-            .idle
-            .iter()
-            .any(|link| link.workspace == *workspace)
+        lock(&self.inner).places.has_free(workspace)
     }
 
     /// Closes all free connections.
     pub(crate) fn close_idle(&self) {
         let mut inner = lock(&self.inner);
-        inner.open -= inner.idle.len();
-        inner.idle.clear();
+        inner.places.drop_free();
+        inner.free.clear();
     }
 
     /// Takes a connection, opens one or waits for one.
@@ -151,169 +135,190 @@
         wish: Wish<'_>,
         limit: Duration,
     ) -> Result<Loan, Unavailable> {
-        let waiting = match self.try_take(wish) {
-            Ok(given) => return self.redeem(given, wish).await,
-            Err(waiting) => waiting,
-        };
-        let Some(mut waiting) = waiting else {
-            return Err(Unavailable::Late);
-        };
-        match timeout(limit, &mut waiting).await {
-            Ok(Ok(given)) => self.redeem(given, wish).await,
-            _ => {
-                waiting.close();
-                if let Ok(given) = waiting.try_recv() {
-                    self.give_back(given);
-                }
-                Err(Unavailable::Late)
-            }
+        let own = OWN_WAIT.min(limit);
+        if let Some(given) = self.take_or_wait(wish, false, own).await? {
+            return self.redeem(given, wish).await;
+        }
+        let rest = limit.saturating_sub(own);
+        match self.take_or_wait(wish, true, rest).await? {
+            Some(given) => self.redeem(given, wish).await,
+            None => Err(Unavailable::Late),
         }
     }
 
-    /// A free connection or the right to open one, else a place in the queue, unless that is full.
-    fn try_take(
+    /// Waits for `limit` where nothing is to be had at once.
+    async fn take_or_wait(
         self: &Arc<Self>,
         wish: Wish<'_>,
-    ) -> Result<Given, Option<oneshot::Receiver<Given>>> {
-        let mut inner = lock(&self.inner);
-        while let Some(index) = inner.best_idle(wish) {
-            let link = inner.idle.swap_remove(index);
-            if link.is_usable() {
-                return Ok(Given::Link(Box::new(link)));
+        insist: bool,
+        limit: Duration,
+    ) -> Result<Option<Given>, Unavailable> {
+        let mut queued = {
+            let mut inner = lock(&self.inner);
+            if let Some(given) = inner.take(wish, insist) {
+                return Ok(Some(given));
             }
-            inner.open -= 1;
-        }
-        if inner.has_room() {
-            inner.open += 1;
-            return Ok(Given::Permit);
-        }
-        if inner.evict_idle() {
-            return Ok(Given::Permit);
-        }
-        if inner.waiting.len() >= MAX_WAITING {
-            return Err(None);
+            let ticket = inner.places.wait(wish.workspace.clone(), wish.priority);
+            let ticket = ticket.ok_or(Unavailable::Late)?;
+            let (give, given) = oneshot::channel();
+            inner.waiting.insert(ticket, give);
+            Queued {
+                pool: self,
+                ticket,
+                given,
+            }
+        };
+        match timeout(limit, &mut queued.given).await {
+            Ok(Ok(given)) => Ok(Some(given)),
+            _ => Ok(queued.given.try_recv().ok()),
         }
-        let (give, waiting) = oneshot::channel();
-        let ticket = (wish.priority, inner.next);
-        inner.next += 1;
-        let workspace = wish.workspace.clone();
-        inner.waiting.insert(ticket, Waiter { workspace, give });
-        Err(Some(waiting))
     }
 
     async fn redeem(self: &Arc<Self>, given: Given, wish: Wish<'_>) -> Result<Loan, Unavailable> {
-        let mut permit = Permit(Some(self));
-        let link = match given {
-            Given::Link(link) if link.workspace == *wish.workspace => *link,
-            _ => {
-                let opened = Link::open(self.dialect, &self.target, wish.workspace, OPEN_LIMIT);
-                match opened.await {
-                    Ok(link) => link,
-                    Err(OpenError::Refused(code)) => {
-                        if code == Code::TooMany {
-                            lock(&self.inner).crowded_until = now_ms() + CROWDED_MS;
-                        }
-                        return Err(Unavailable::Refused(code));
-                    }
-                    Err(OpenError::Unreached) => return Err(Unavailable::Unreached),
+        if let Given::Link(number, link) = given {
+            return Ok(self.lend(number, *link));
+        }
+        let mut place = Place(Some(self));
+        let opened = Link::open(self.dialect, &self.target, wish.workspace, OPEN_LIMIT);
+        match opened.await {
+            Ok(link) => {
+                place.0 = None;
+                let number = lock(&self.inner)
+                    .places
+                    .opened(now_ms(), wish.workspace.clone());
+                Ok(self.lend(number, link))
+            }
+            Err(OpenError::Refused(code)) => {
+                if code == Code::TooMany {
+                    lock(&self.inner).places.crowd(now_ms() + CROWDED_MS);
                 }
+                Err(Unavailable::Refused(code))
             }
-        };
-        permit.0 = None;
-        Ok(Loan {
+            Err(OpenError::Unreached) => Err(Unavailable::Unreached),
+        }
+    }
+
+    fn lend(self: &Arc<Self>, number: u64, link: Link) -> Loan {
+        Loan {
             pool: Arc::clone(self),
+            number,
             link: Some(link),
-        })
+        }
     }
 
+    /// A session that is handed something has gone meanwhile: the next one gets it.
     fn give_back(&self, given: Given) {
         let mut inner = lock(&self.inner);
         match given {
-            Given::Link(link) => inner.release(*link),
-            Given::Permit => inner.close_one(),
+            Given::Link(number, link) => inner.release(number, *link),
+            Given::Place => inner.not_opened(),
         }
     }
 }
 
-/// The right to have one connection; given back when dropped.
-struct Permit<'a>(Option<&'a Arc<Pool>>);
+/// The right to open a connection; given back when dropped.
+struct Place<'a>(Option<&'a Arc<Pool>>);
 
-impl Drop for Permit<'_> {
+impl Drop for Place<'_> {
     fn drop(&mut self) {
         if let Some(pool) = self.0 {
-            lock(&pool.inner).close_one();
+            lock(&pool.inner).not_opened();
         }
     }
 }
 
-impl Inner {
-    fn has_room(&self) -> bool {
-        self.open < self.capacity && now_ms() >= self.crowded_until
-    }
+/// A place in the queue; left when dropped, and what had been handed over goes to the next one.
+struct Queued<'a> {
+    pool: &'a Arc<Pool>,
+    ticket: Ticket,
+    given: oneshot::Receiver<Given>,
+}
 
-    /// Free connection of the workspace, best with the same values.
-    fn best_idle(&self, wish: Wish<'_>) -> Option<usize> {
-        let own = self.idle.iter().enumerate();
-        let own = own.filter(|(_, link)| link.workspace == *wish.workspace);
-        let best = own.max_by_key(|(_, link)| (link.values == *wish.values, link.used_at));
-        best.map(|(index, _)| index)
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        {
+            let mut inner = lock(&self.pool.inner);
+            inner.places.leave(self.ticket);
+            inner.waiting.remove(&self.ticket);
+        }
+        if let Ok(given) = self.given.try_recv() {
+            self.pool.give_back(given);
+        }
     }
+}
 
-    /// Closes the free connection that was used longest ago; its place is then the caller's.
-    fn evict_idle(&mut self) -> bool {
-        let oldest = self
-            .idle
-            .iter()
-            .enumerate()
-            .min_by_key(|(_, link)| link.used_at);
-        match oldest.map(|(index, _)| index) {
-            Some(index) => {
-                self.idle.swap_remove(index);
-                true
+impl Inner {
+    fn take(&mut self, wish: Wish<'_>, insist: bool) -> Option<Given> {
+        let values = sum_of(wish.values);
+        loop {
+            match self.places.take(now_ms(), wish.workspace, values, insist) {
+                Take::Reuse(number) => match self.free.remove(&number) {
+                    Some(link) if link.is_usable() => {
+                        return Some(Given::Link(number, Box::new(link)));
+                    }
+                    _ => self.closed(number),
+                },
+                Take::Open => return Some(Given::Place),
+                Take::Replace(number) => {
+                    self.free.remove(&number);
+                    return Some(Given::Place);
+                }
+                Take::Wait => return None,
             }
-            None => false,
         }
     }
 
     /// Hands a connection on, or keeps it.
-    fn release(&mut self, link: Link) {
-        let mut link = Some(Box::new(link));
-        while let Some(first) = self.waiting.keys().next().copied() {
-            let same = self
-                .waiting
-                .iter()
-                .take_while(|(ticket, _)| ticket.0 == first.0);
-            let workspace = link.as_ref().map(|link| link.workspace.clone());
-            let mut same = same.filter(|(_, waiter)| Some(&waiter.workspace) == workspace.as_ref());
-            let ticket = same.next().map_or(first, |(ticket, _)| *ticket);
-            let Some(waiter) = self.waiting.remove(&ticket) else {
-                break;
-            };
-            let fits = Some(&waiter.workspace) == workspace.as_ref();
-            let given = match link.take() {
-                Some(link) if fits => Given::Link(link),
-                _ => Given::Permit,
-            };
-            match waiter.give.send(given) {
-                Ok(()) => return,
-                Err(Given::Link(back)) => link = Some(back),
-                Err(Given::Permit) => {}
+    fn release(&mut self, number: u64, link: Link) {
+        self.places.set_values(number, sum_of(&link.values));
+        match self.places.release(now_ms(), number) {
+            Release::Keep => {
+                self.free.insert(number, link);
             }
+            Release::Give(ticket) => self.give(ticket, Given::Link(number, Box::new(link))),
+            Release::Replace(ticket) => self.give(ticket, Given::Place),
         }
-        match link {
-            Some(link) => self.idle.push(*link),
-            None => self.open = self.open.saturating_sub(1),
+    }
+
+    fn closed(&mut self, number: u64) {
+        if let Some(ticket) = self.places.closed(number) {
+            self.give(ticket, Given::Place);
         }
     }
 
-    /// Hands the place of a closed connection on, or gives it up.
-    fn close_one(&mut self) {
-        while let Some((_, waiter)) = self.waiting.pop_first() {
-            if waiter.give.send(Given::Permit).is_ok() {
-                return;
-            }
+    fn not_opened(&mut self) {
+        if let Some(ticket) = self.places.not_opened() {
+            self.give(ticket, Given::Place);
         }
-        self.open = self.open.saturating_sub(1);
+    }
+
+    fn give(&mut self, ticket: Ticket, given: Given) {
+        let unsent = match self.waiting.remove(&ticket) {
+            Some(waiter) => waiter.send(given).err(),
+            None => Some(given),
+        };
+        match unsent {
+            Some(Given::Link(number, link)) => self.release(number, *link),
+            Some(Given::Place) => self.not_opened(),
+            None => {}
+        }
+    }
+}
+
+/// A number that stands for session values.
+fn sum_of(values: &Values) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    values.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Work at a member, counted until dropped.
+#[derive(Debug)]
+pub(crate) struct Busy(Arc<Pool>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.note(Load::end);
     }
 }
 
@@ -326,16 +331,15 @@
     /// Closes the connection; the member then rolls back what is open on it.
     pub(crate) fn spoil(&mut self) {
         if self.link.take().is_some() {
-            lock(&self.pool.inner).close_one();
+            lock(&self.pool.inner).closed(self.number);
         }
     }
 }
 
 impl Drop for Loan {
     fn drop(&mut self) {
-        if let Some(mut link) = self.link.take() {
-            link.used_at = now_ms();
-            lock(&self.pool.inner).release(link);
+        if let Some(link) = self.link.take() {
+            lock(&self.pool.inner).release(self.number, link);
         }
     }
 }
