Portions and loans share one rate exactly; nothing is held of a rate over its limit

Change: the owner lends the rate less what hosts may be holding, so a rate is halved only while it is within its limit, whatever its size.

--- a/crates/hemlockcrank_core/src/allotment.rs
+++ b/crates/hemlockcrank_core/src/allotment.rs
@@ -18,7 +18,9 @@
 mod purse;
 
 pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
-pub use portion::{Division, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE, split};
+pub use portion::{
+    Division, MOST_HELD, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE, lent,
+};
 pub use purse::{Ask, Purse, Take};
 
 /// Life of a loan for the borrower, counted from when it asked, in milliseconds.
--- a/crates/hemlockcrank_core/src/allotment/portion.rs
+++ b/crates/hemlockcrank_core/src/allotment/portion.rs
@@ -18,10 +18,6 @@
 
 use crate::{Name, record::Rate};
 
-/// Part of a rate that is held in portions, in percent; the owner lends the rest.
-const HELD_PERCENT: u64 = 50;
-/// Smallest burst that is worth holding, for each host.
-const HELD_EACH: u64 = 4;
 /// The whole of a rate, in parts.
 pub const WHOLE: u64 = 1_000_000;
 /// Life of a portion for its holder, counted from when it asked, in milliseconds.
@@ -29,9 +25,9 @@
 /// Addition for the owner, which covers clock drift, in milliseconds.
 const MARGIN_MS: u64 = 100;
 /// Part of the whole that is divided evenly, so that no host starts with nothing.
-const EVEN: u64 = WHOLE / 8;
-/// Part of the whole that is kept for hosts whose demand has just begun.
-const SPARE: u64 = WHOLE / 20;
+const EVEN: u64 = WHOLE / 12;
+/// Most of the whole that is held in portions; the owner lends the rest on demand.
+pub const MOST_HELD: u64 = WHOLE / 2;
 /// Thousandths of operations in an operation.
 const MILLI: u64 = 1_000;
 /// Most hosts for which each may hold one operation, however small its portion.
@@ -39,23 +35,13 @@
 /// Window over which demand is counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
-/// The part of a rate that is held in portions, and the part that the owner lends.
-///
-/// What is held goes on without the owner; what is lent serves whoever needs it, also hosts whose
-/// portion is small. A rate whose burst is small for so many hosts is lent as a whole.
-pub fn split(rate: Rate, hosts: u64) -> (Rate, Rate) {
-    let held = |whole: u64| whole * HELD_PERCENT / 100;
-    let divided = held(rate.burst) >= HELD_EACH * hosts;
-    let part = |whole: u64| if divided { held(whole) } else { 0 };
-    let held = Rate {
-        per_second: part(rate.per_second),
-        burst: part(rate.burst),
-    };
-    let lent = Rate {
-        per_second: rate.per_second - held.per_second,
-        burst: rate.burst - held.burst,
-    };
-    (held, lent)
+/// What the owner may lend while hosts may be using `held` parts of the rate in portions.
+pub fn lent(rate: Rate, held: u64) -> Rate {
+    let rest = |whole: u64| whole * WHOLE.saturating_sub(held) / WHOLE;
+    Rate {
+        per_second: rest(rate.per_second),
+        burst: rest(rate.burst),
+    }
 }
 
 /// A host's question about one rate.
@@ -114,8 +100,9 @@
         self.unheard.retain(in_view);
     }
 
-    /// Answers a host among `hosts` serving ones: the parts that it may use from now on.
-    pub fn ask(&mut self, now: u64, host: &Name, ask: &PortionAsk, hosts: u64) -> u64 {
+    /// Answers a host among `hosts` serving ones: the parts that it may use from now on. Of a rate that is
+    /// `over` its limit nothing is held, so that no part lies where it is not wanted.
+    pub fn ask(&mut self, now: u64, host: &Name, ask: &PortionAsk, hosts: u64, over: bool) -> u64 {
         self.holdings.retain(|_, holding| holding.ends_at > now);
         self.unheard.remove(host);
         let entry = Holding {
@@ -126,10 +113,15 @@
         self.holdings.insert(host.clone(), entry);
         let others = self.holdings.iter().filter(|(name, _)| *name != host);
         let used: u64 = others.map(|(_, holding)| holding.parts).sum();
-        let free = WHOLE.saturating_sub(used);
+        let free = MOST_HELD.saturating_sub(used);
         let known = self.unheard.is_empty() || now >= self.opens_at;
         let most = if known { free } else { free.min(ask.held) };
-        let granted = self.target(ask.demand, hosts).min(most);
+        let target = if over {
+            0
+        } else {
+            self.target(ask.demand, hosts)
+        };
+        let granted = target.min(most);
         if let Some(entry) = self.holdings.get_mut(host) {
             entry.parts = granted.max(ask.held);
         }
@@ -138,6 +130,9 @@
 
     /// Parts that hosts may be using.
     pub fn in_use(&self, now: u64) -> u64 {
+        if !self.unheard.is_empty() && now < self.opens_at {
+            return MOST_HELD;
+        }
         let live = self
             .holdings
             .values()
@@ -149,9 +144,9 @@
         let hosts = hosts.max(1);
         let total: u64 = self.holdings.values().map(|holding| holding.demand).sum();
         if total == 0 {
-            return (WHOLE - SPARE) / hosts;
+            return MOST_HELD / hosts;
         }
-        EVEN / hosts + (WHOLE - EVEN - SPARE) * demand / total
+        EVEN / hosts + (MOST_HELD - EVEN) * demand / total
     }
 }
 
--- a/crates/hemlockcrank_core/tests/allotment/portions.rs
+++ b/crates/hemlockcrank_core/tests/allotment/portions.rs
@@ -4,7 +4,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Division, PORTION_MS, Portion, PortionAsk, WHOLE},
+    allotment::{Division, MOST_HELD, PORTION_MS, Portion, PortionAsk, WHOLE},
     record::Rate,
 };
 use rand_chacha::{
@@ -34,7 +34,7 @@
 fn open_division() -> Division {
     let mut division = Division::new(0, names());
     for name in names() {
-        division.ask(0, &name, &ask(0, 0), 4);
+        division.ask(0, &name, &ask(0, 0), 4, false);
     }
     division
 }
@@ -47,13 +47,13 @@
     for now in 1..40 {
         for (name, demand) in names().iter().zip([90, 10, 0, 0]) {
             let before = held.get(name).copied().unwrap_or(0);
-            let parts = division.ask(now * 100, name, &ask(before, demand), 4);
+            let parts = division.ask(now * 100, name, &ask(before, demand), 4, false);
             held.insert(name.clone(), parts);
-            assert!(held.values().sum::<u64>() <= WHOLE);
+            assert!(held.values().sum::<u64>() <= MOST_HELD);
         }
     }
 
-    assert!(held["h1"] > WHOLE / 2, "{held:?}");
+    assert!(held["h1"] > MOST_HELD / 2, "{held:?}");
     assert!(held["h3"] > 0, "an idle host keeps a little: {held:?}");
 }
 
@@ -61,8 +61,8 @@
 fn a_new_owner_raises_nothing_before_every_host_has_told_what_it_holds() {
     let mut division = Division::new(1_000, names());
 
-    let first = division.ask(1_000, &"h1".into(), &ask(200_000, 50), 4);
-    let second = division.ask(1_000, &"h2".into(), &ask(0, 50), 4);
+    let first = division.ask(1_000, &"h1".into(), &ask(200_000, 50), 4, false);
+    let second = division.ask(1_000, &"h2".into(), &ask(0, 50), 4, false);
 
     assert!(first <= 200_000);
     assert_eq!(second, 0);
@@ -72,8 +72,8 @@
 fn a_new_owner_opens_when_the_old_portions_have_surely_ended() {
     let mut division = Division::new(1_000, names());
 
-    let early = division.ask(1_000 + PORTION_MS, &"h2".into(), &ask(0, 50), 4);
-    let late = division.ask(1_200 + PORTION_MS, &"h2".into(), &ask(0, 50), 4);
+    let early = division.ask(1_000 + PORTION_MS, &"h2".into(), &ask(0, 50), 4, false);
+    let late = division.ask(1_200 + PORTION_MS, &"h2".into(), &ask(0, 50), 4, false);
 
     assert_eq!(early, 0);
     assert!(late > 0);
@@ -84,7 +84,7 @@
     let mut division = Division::new(1_000, names());
     division.keep(|name| **name == *"h2");
 
-    let parts = division.ask(1_000, &"h2".into(), &ask(0, 50), 1);
+    let parts = division.ask(1_000, &"h2".into(), &ask(0, 50), 1, false);
 
     assert!(parts > 0);
 }
@@ -93,7 +93,7 @@
 fn a_host_goes_on_without_its_owner_until_its_portion_ends() {
     let mut portion = Portion::default();
     portion.ask(0, "w".into());
-    portion.grant(10, 0, WHOLE / 2, RATE, 4);
+    portion.grant(10, 0, MOST_HELD, RATE, 4);
 
     let early = (0..40)
         .filter(|turn| portion.take(1_000 + turn * 20, RATE, 4))
@@ -106,6 +106,23 @@
     assert_eq!(late, 0);
 }
 
+#[test]
+fn nothing_is_held_of_a_rate_that_is_over_its_limit() {
+    let mut division = open_division();
+    let held = division.ask(100, &"h1".into(), &ask(0, 50), 4, false);
+    assert!(held > 0);
+
+    let less = division.ask(400, &"h1".into(), &ask(held, 50), 4, true);
+    assert_eq!(less, 0);
+    assert!(
+        division.in_use(400) >= held,
+        "until the host has confirmed it"
+    );
+    division.ask(700, &"h1".into(), &ask(0, 50), 4, true);
+
+    assert!(division.in_use(700) < held);
+}
+
 #[test]
 fn an_answer_to_an_older_question_is_dropped() {
     let mut portion = Portion::default();
@@ -143,7 +160,7 @@
                     if chance(8) {
                         continue;
                     }
-                    let parts = division.ask(now, name, &question, 4);
+                    let parts = division.ask(now, name, &question, 4, false);
                     if !chance(8) {
                         portion.grant(now, now, parts, RATE, 4);
                     }
@@ -158,7 +175,7 @@
                 .iter()
                 .take_while(|at| **at < start + 5_000)
                 .count() as u64;
-            let allowed = 5 * RATE.per_second + RATE.burst + HOSTS.len() as u64;
+            let allowed = (5 * RATE.per_second + RATE.burst) / 2 + HOSTS.len() as u64;
             assert!(
                 within <= allowed,
                 "seed {seed}: {within} operations from {start} on"
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -136,14 +136,14 @@
             overseer,
         )
         .await?;
-        let limits = Limits::new(control.clone(), Arc::clone(&peers));
+        let portions = Portions::new(control.clone(), Arc::clone(&peers));
+        let limits = Limits::new(control.clone(), Arc::clone(&peers), Arc::clone(&portions));
         let source = Source {
             from: settings.listen.peer.ip(),
             credential: settings.upstream.clone(),
             message_bytes: settings.limits.message_bytes,
             answer_limit: Duration::from_millis(settings.limits.silence_ms) * ANSWER_SILENCES,
         };
-        let portions = Portions::new(control.clone(), Arc::clone(&peers));
         let metrics = Arc::new(Metrics::new()?);
         let site = dialect.filter(|_| callers.is_some()).map(|dialect| {
             Site::new(
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -18,9 +18,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{
-        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Take, split,
-    },
+    allotment::{Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Purse, Settlement, Take, lent},
     lease,
     record::Rate,
 };
@@ -76,12 +74,14 @@
     borrowers: Mutex<HashMap<Name, Arc<Borrower>>>,
     buckets: Mutex<HashMap<Name, Bucket>>,
     tenures: Mutex<Tenures>,
+    portions: Arc<Portions>,
 }
 
 impl Limits {
     /// No token yet.
-    pub fn new(control: Control, peers: Arc<Peers>) -> Arc<Self> {
+    pub fn new(control: Control, peers: Arc<Peers>, portions: Arc<Portions>) -> Arc<Self> {
         Arc::new(Self {
+            portions,
             control,
             peers,
             borrowers: Mutex::default(),
@@ -195,6 +195,14 @@
     // ---------------------------------------------------------------------------------------------
     // Owner
 
+    /// Rate that the owner lends: all of it, where it comes from a record.
+    fn lent_rate(&self, world: &World, workspace: &str) -> Option<Rate> {
+        match world.state.catalog.rate(workspace) {
+            Some(rate) => Some(lent(rate, self.portions.in_use(workspace))),
+            None => world.state.records.rate(workspace),
+        }
+    }
+
     /// Lends tokens of a workspace that this host owns.
     pub async fn lend(
         self: &Arc<Self>,
@@ -204,7 +212,7 @@
     ) -> Answer {
         let world = self.control.world();
         let owns = world.state.view.serving_owner(workspace) == Some(&self.control.host().name);
-        let Some(rate) = lent_rate(&world, workspace) else {
+        let Some(rate) = self.lent_rate(&world, workspace) else {
             return Answer::Closed;
         };
         if !owns || !world.has_lease() {
@@ -219,7 +227,11 @@
         };
         let now = now_ms();
         bucket.set_rate(now, rate);
-        bucket.borrow(now, want, settled)
+        let answer = bucket.borrow(now, want, settled);
+        if matches!(answer, Answer::Empty { .. }) && want > 0 {
+            self.portions.note_over(workspace);
+        }
+        answer
     }
 
     /// Gives a bucket to its new owner, once this host knows that it is not the owner any more.
@@ -249,7 +261,7 @@
             if !owned || lock(&self.buckets).contains_key(workspace) {
                 continue;
             }
-            let Some(rate) = lent_rate(world, workspace) else {
+            let Some(rate) = self.lent_rate(world, workspace) else {
                 continue;
             };
             let (limits, world, workspace) =
@@ -347,14 +359,6 @@
     now_ms().saturating_sub(LOAN_MS + LOAN_MARGIN_MS)
 }
 
-/// Rate that the owner lends: all of it, where it comes from a record.
-fn lent_rate(world: &World, workspace: &str) -> Option<Rate> {
-    match world.state.catalog.rate(workspace) {
-        Some(rate) => Some(split(rate, portions::serving(world)).1),
-        None => world.state.records.rate(workspace),
-    }
-}
-
 /// Counts a waiting task while it waits.
 struct Counted<'a>(&'a AtomicU64);
 
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -10,7 +10,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Division, Portion, PortionAsk, PortionGrant, split},
+    allotment::{Division, MOST_HELD, Portion, PortionAsk, PortionGrant},
     record::Rate,
 };
 use hemlockcrank_wire::{Request, Response};
@@ -25,15 +25,25 @@
 
 /// Interval between two questions to the same owner.
 const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Time for which a workspace counts as over its rate after it was, in milliseconds.
+const OVER_MS: u64 = 3_000;
 /// Longest wait for an owner's answer.
 const ASK_LIMIT: Duration = Duration::from_millis(400);
 
 #[derive(Debug)]
 struct Owned {
+    /// Last time at which the workspace was found over its rate.
+    over_at: Option<u64>,
     index: u64,
     division: Division,
 }
 
+impl Owned {
+    fn over(&self, now: u64) -> bool {
+        self.over_at.is_some_and(|at| now < at + OVER_MS)
+    }
+}
+
 /// All portions and divisions of this host.
 #[derive(Debug)]
 pub struct Portions {
@@ -64,7 +74,6 @@
             return true;
         };
         let hosts = serving(&world);
-        let (rate, _) = split(rate, hosts);
         let mut held = lock(&self.held);
         let portion = held.entry(workspace.clone()).or_default();
         portion.take(now_ms(), rate, hosts)
@@ -128,12 +137,8 @@
         lock(&self.asking).remove(owner);
         let mut held = lock(&self.held);
         for grant in grants.into_iter().flatten() {
-            let rate = world
-                .state
-                .catalog
-                .rate(&grant.workspace)
-                .map(|rate| split(rate, serving(world)));
-            if let (Some((rate, _)), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
+            let rate = world.state.catalog.rate(&grant.workspace);
+            if let (Some(rate), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
                 portion.grant(now, asked_at, grant.parts, rate, serving(world));
             }
         }
@@ -162,6 +167,7 @@
                 continue;
             }
             let fresh = || Owned {
+                over_at: None,
                 index: world.state.index,
                 division: Division::new(now, serving_names(&world)),
             };
@@ -171,7 +177,8 @@
                 "the view does not go back"
             );
             entry.division.keep(|name| view.get(name).is_some());
-            let parts = entry.division.ask(now, host, ask, serving(&world));
+            let over = entry.over(now);
+            let parts = entry.division.ask(now, host, ask, serving(&world), over);
             grants.push(PortionGrant {
                 workspace: ask.workspace.clone(),
                 parts,
@@ -180,6 +187,21 @@
         Some(grants)
     }
 
+    /// Parts of an owned rate that hosts may be using in portions.
+    pub(super) fn in_use(&self, workspace: &str) -> u64 {
+        let owned = lock(&self.owned);
+        owned
+            .get(workspace)
+            .map_or(MOST_HELD, |owned| owned.division.in_use(now_ms()))
+    }
+
+    /// Notes that an owned rate was found empty.
+    pub(super) fn note_over(&self, workspace: &str) {
+        if let Some(owned) = lock(&self.owned).get_mut(workspace) {
+            owned.over_at = Some(now_ms());
+        }
+    }
+
     /// Parts of a workspace's rate that this host holds, for people who look.
     pub fn held(&self, workspace: &str) -> Option<(u64, Rate)> {
         let world = self.control.world();
