Connections are opened in the background, few at a time; refusals say what was tried

Change: whoever wants a connection waits in the queue while it is opened, two at once at most; what is opened late serves the next. Refusals carry the members tried and what came of it.

--- a/crates/hemlockcrank_core/src/places.rs
+++ b/crates/hemlockcrank_core/src/places.rs
@@ -5,15 +5,18 @@
 //! another's place; and when a place is taken, it is that of the workspace which uses its connections
 //! least, not of the one whose turn was longest ago.
 //!
+//! Connections are opened few at a time, and by nobody in particular: whoever wanted one waits in the
+//! queue, and one that is opened after its session has given up serves the next. Otherwise a member that
+//! is slow to open would spend its slots on connections that nobody waits for any more.
+//!
 //! ```
-//! use hemlockcrank_core::places::{Places, Take};
+//! use hemlockcrank_core::places::{Places, Release, Take};
 //!
 //! let mut places = Places::new(1);
-//! let first = places.take(0, &"loud".into(), 0, false);
-//! assert_eq!(first, Take::Open);
-//! let link = places.opened(0, "loud".into());
-//! assert_eq!(places.take(1, &"loud".into(), 0, false), Take::Wait);
-//! places.release(2, link);
+//! assert_eq!(places.take(0, &"loud".into(), 0, false), Take::Open);
+//! let ticket = places.wait("loud".into(), 0);
+//! let link = places.opened(20, "loud".into());
+//! assert_eq!(places.release(20, link), ticket.map_or(Release::Keep, Release::Give));
 //! ```
 
 use std::collections::BTreeMap;
@@ -22,6 +25,8 @@
 
 /// Most sessions that may wait.
 const MAX_WAITING: usize = 512;
+/// Connections that are opened at once.
+const MAX_OPENING: usize = 2;
 /// Time after which half of a workspace's use is forgotten, in milliseconds.
 const HALF_LIFE_MS: u64 = 2_000;
 /// Weight of one use.
@@ -48,14 +53,14 @@
 }
 
 /// What becomes of a connection, or of a place, that is given back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Release {
     /// It stays free.
     Keep,
     /// The waiting session uses it.
     Give(Ticket),
-    /// Close it; the waiting session opens one in its place.
-    Replace(Ticket),
+    /// Close it, and open one for this workspace.
+    Replace(Name),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -78,7 +83,8 @@
 pub struct Places {
     capacity: usize,
     crowded_until: u64,
-    opening: usize,
+    /// Workspaces that a connection is being opened for.
+    opening: Vec<Name>,
     held: BTreeMap<Link, Held>,
     next_link: Link,
     waiting: BTreeMap<Ticket, Name>,
@@ -105,6 +111,11 @@
         self.crowded_until = until;
     }
 
+    /// Whether there is no connection at all.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
     /// Whether a connection of the workspace is free.
     pub fn has_free(&self, workspace: &Name) -> bool {
         let mut held = self.held.values();
@@ -121,10 +132,12 @@
             }
             return Take::Reuse(link);
         }
-        let full = self.held.len() + self.opening >= self.capacity || now < self.crowded_until;
-        if !full {
+        if self.opening.len() >= MAX_OPENING || self.opening.contains(workspace) {
+            return Take::Wait;
+        }
+        if self.has_room(now) {
             self.count(now, workspace);
-            self.opening += 1;
+            self.opening.push(workspace.clone());
             return Take::Open;
         }
         let own = self.held.values().any(|held| held.workspace == *workspace);
@@ -135,7 +148,7 @@
             Some(link) => {
                 self.count(now, workspace);
                 self.held.remove(&link);
-                self.opening += 1;
+                self.opening.push(workspace.clone());
                 Take::Replace(link)
             }
             None => Take::Wait,
@@ -158,9 +171,9 @@
         self.waiting.remove(&ticket).is_some()
     }
 
-    /// A connection was opened; it is in use.
+    /// A connection was opened. It counts as in use until it is released, to whoever waits.
     pub fn opened(&mut self, now: u64, workspace: Name) -> Link {
-        self.opening = self.opening.saturating_sub(1);
+        self.end_opening(&workspace);
         let link = self.next_link;
         self.next_link += 1;
         let held = Held {
@@ -173,16 +186,21 @@
         link
     }
 
-    /// A connection could not be opened; the session that gets its place.
-    pub fn not_opened(&mut self) -> Option<Ticket> {
-        self.opening = self.opening.saturating_sub(1);
-        self.hand_place_on()
+    /// A connection could not be opened; the workspace to open one for instead.
+    pub fn not_opened(&mut self, now: u64, workspace: &Name) -> Option<Name> {
+        self.end_opening(workspace);
+        self.open_next(now)
+    }
+
+    /// A free connection was found closed; its place is the finder's.
+    pub fn forget(&mut self, link: Link) {
+        self.held.remove(&link);
     }
 
-    /// A connection has closed; the session that gets its place.
-    pub fn closed(&mut self, link: Link) -> Option<Ticket> {
+    /// A connection has closed; the workspace to open one for instead.
+    pub fn closed(&mut self, now: u64, link: Link) -> Option<Name> {
         self.held.remove(&link)?;
-        self.hand_place_on()
+        self.open_next(now)
     }
 
     /// Notes the session values of a connection.
@@ -199,7 +217,7 @@
         };
         held.used_at = now;
         let workspace = held.workspace.clone();
-        let Some((first, _)) = self.waiting.first_key_value().map(|(t, w)| (*t, w)) else {
+        let Some(first) = self.waiting.keys().next().copied() else {
             held.free = true;
             return Release::Keep;
         };
@@ -208,17 +226,24 @@
             .iter()
             .take_while(|(ticket, _)| ticket.0 == first.0);
         let same = rank.find(|(_, waiting)| **waiting == workspace);
-        let same = same.map(|(ticket, _)| *ticket);
-        let ticket = same.unwrap_or(first);
-        if let Some(waiting) = self.waiting.remove(&ticket) {
-            self.count(now, &waiting);
-        }
-        if same.is_some() {
+        if let Some(ticket) = same.map(|(ticket, _)| *ticket) {
+            self.waiting.remove(&ticket);
+            self.count(now, &workspace);
             return Release::Give(ticket);
         }
-        self.held.remove(&link);
-        self.opening += 1;
-        Release::Replace(ticket)
+        match self.next_wanted() {
+            Some(wanted) => {
+                self.held.remove(&link);
+                self.opening.push(wanted.clone());
+                Release::Replace(wanted)
+            }
+            None => {
+                if let Some(held) = self.held.get_mut(&link) {
+                    held.free = true;
+                }
+                Release::Keep
+            }
+        }
     }
 
     /// Connections that are free, to be closed all together.
@@ -231,13 +256,31 @@
         free
     }
 
-    fn hand_place_on(&mut self) -> Option<Ticket> {
-        if self.held.len() + self.opening >= self.capacity {
+    fn has_room(&self, now: u64) -> bool {
+        self.held.len() + self.opening.len() < self.capacity && now >= self.crowded_until
+    }
+
+    fn end_opening(&mut self, workspace: &Name) {
+        if let Some(index) = self.opening.iter().position(|opening| opening == workspace) {
+            self.opening.swap_remove(index);
+        }
+    }
+
+    fn open_next(&mut self, now: u64) -> Option<Name> {
+        let wanted = self.next_wanted().filter(|_| self.has_room(now))?;
+        self.opening.push(wanted.clone());
+        Some(wanted)
+    }
+
+    /// Workspace of the first session that waits and that no connection is being opened for.
+    fn next_wanted(&self) -> Option<Name> {
+        if self.opening.len() >= MAX_OPENING {
             return None;
         }
-        let (ticket, _) = self.waiting.pop_first()?;
-        self.opening += 1;
-        Some(ticket)
+        let mut waiting = self.waiting.values();
+        waiting
+            .find(|workspace| !self.opening.contains(workspace))
+            .cloned()
     }
 
     fn best_free(&self, workspace: &Name, values: u64) -> Option<Link> {
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -17,11 +17,43 @@
 pub(crate) struct Refusal {
     pub(crate) code: Code,
     pub(crate) reason: &'static str,
+    /// Members that were tried, each with what came of it.
+    pub(crate) trail: Trail,
+}
+
+/// Members that were tried, each with what came of it: for the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Trail(String);
+
+impl Trail {
+    pub(crate) fn add(&mut self, member: &str, outcome: &str) {
+        if !self.0.is_empty() {
+            self.0.push(' ');
+        }
+        self.0.push_str(member);
+        self.0.push('=');
+        self.0.push_str(outcome);
+    }
+}
+
+impl std::fmt::Display for Trail {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if self.0.is_empty() { "-" } else { &self.0 })
+    }
 }
 
 impl Refusal {
     pub(crate) const fn new(code: Code, reason: &'static str) -> Self {
-        Self { code, reason }
+        let trail = Trail(String::new());
+        Self {
+            code,
+            reason,
+            trail,
+        }
+    }
+
+    pub(crate) fn after(self, trail: Trail) -> Self {
+        Self { trail, ..self }
     }
 }
 
--- a/crates/hemlockcrank_host/src/engine/dialect.rs
+++ b/crates/hemlockcrank_host/src/engine/dialect.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hemlockcrank_core::{Name, session::Position, succession::Row};
+use strum::{Display, IntoStaticStr};
 use thiserror::Error;
 
 /// Bytes that are no message of the protocol.
@@ -10,7 +11,8 @@
 pub struct Malformed;
 
 /// Why a statement has no result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Code {
     /// Not run: no slot, no authority or no primary in time.
     Busy,
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -15,6 +15,7 @@
     balance::Load,
     places::{Places, Release, Take, Ticket},
 };
+use strum::IntoStaticStr;
 use tokio::{sync::oneshot, time::timeout};
 
 use super::{
@@ -23,15 +24,18 @@
 };
 use crate::{clock::now_ms, sync::lock};
 
-/// Longest wait for a new connection.
-const OPEN_LIMIT: Duration = Duration::from_millis(600);
+/// Longest wait for a new connection; one that is given up has cost the member its slot for nothing.
+const OPEN_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time for which a member that could not be reached is not tried again, in milliseconds.
+const UNREACHED_MS: u64 = 150;
 /// Time for which a refused connection lowers the limit, in milliseconds.
 const CROWDED_MS: u64 = 300;
 /// Wait for a connection of the own workspace, before another's place is taken.
 const OWN_WAIT: Duration = Duration::from_millis(40);
 
 /// Why there is no connection. Nothing has run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum Unavailable {
     /// None came free in time.
     Late,
@@ -49,18 +53,16 @@
     pub(crate) priority: u32,
 }
 
-/// A connection, or the right to open one.
-#[derive(Debug)]
-enum Given {
-    Link(u64, Box<Link>),
-    Place,
-}
+/// A connection on its way to a session.
+type Given = (u64, Box<Link>);
 
 #[derive(Debug, Default)]
 struct Inner {
     places: Places,
     free: HashMap<u64, Link>,
     waiting: HashMap<Ticket, oneshot::Sender<Given>>,
+    /// How the last connection could not be opened, and until when that counts.
+    failed: Option<(u64, Unavailable)>,
     load: Load,
 }
 
@@ -137,11 +139,11 @@
     ) -> Result<Loan, Unavailable> {
         let own = OWN_WAIT.min(limit);
         if let Some(given) = self.take_or_wait(wish, false, own).await? {
-            return self.redeem(given, wish).await;
+            return Ok(self.lend(given));
         }
         let rest = limit.saturating_sub(own);
         match self.take_or_wait(wish, true, rest).await? {
-            Some(given) => self.redeem(given, wish).await,
+            Some(given) => Ok(self.lend(given)),
             None => Err(Unavailable::Late),
         }
     }
@@ -155,8 +157,14 @@
     ) -> Result<Option<Given>, Unavailable> {
         let mut queued = {
             let mut inner = lock(&self.inner);
-            if let Some(given) = inner.take(wish, insist) {
-                return Ok(Some(given));
+            let (given, open) = inner.take(wish, insist);
+            if given.is_some() {
+                return Ok(given);
+            }
+            if open {
+                self.open(wish.workspace.clone());
+            } else if let Some(error) = inner.failure() {
+                return Err(error);
             }
             let ticket = inner.places.wait(wish.workspace.clone(), wish.priority);
             let ticket = ticket.ok_or(Unavailable::Late)?;
@@ -170,59 +178,86 @@
         };
         match timeout(limit, &mut queued.given).await {
             Ok(Ok(given)) => Ok(Some(given)),
-            _ => Ok(queued.given.try_recv().ok()),
+            Ok(Err(_)) => Err(lock(&self.inner).failure().unwrap_or(Unavailable::Late)),
+            Err(_) => Ok(queued.given.try_recv().ok()),
         }
     }
 
-    async fn redeem(self: &Arc<Self>, given: Given, wish: Wish<'_>) -> Result<Loan, Unavailable> {
-        if let Given::Link(number, link) = given {
-            return Ok(self.lend(number, *link));
-        }
-        let mut place = Place(Some(self));
-        let opened = Link::open(self.dialect, &self.target, wish.workspace, OPEN_LIMIT);
-        match opened.await {
-            Ok(link) => {
-                place.0 = None;
-                let number = lock(&self.inner)
-                    .places
-                    .opened(now_ms(), wish.workspace.clone());
-                Ok(self.lend(number, link))
-            }
-            Err(OpenError::Refused(code)) => {
-                if code == Code::TooMany {
-                    lock(&self.inner).places.crowd(now_ms() + CROWDED_MS);
+    /// Opens a connection in the background, for whoever then waits.
+    fn open(self: &Arc<Self>, workspace: Name) {
+        let pool = Arc::clone(self);
+        tokio::spawn(async move {
+            let mut place = Place {
+                pool: &pool,
+                workspace: Some(workspace.clone()),
+            };
+            let opened = Link::open(pool.dialect, &pool.target, &workspace, OPEN_LIMIT).await;
+            match opened {
+                Ok(link) => {
+                    place.workspace = None;
+                    let mut inner = lock(&pool.inner);
+                    inner.failed = None;
+                    let number = inner.places.opened(now_ms(), workspace);
+                    pool.release(&mut inner, number, link);
                 }
-                Err(Unavailable::Refused(code))
+                Err(error) => lock(&pool.inner).fail(error),
             }
-            Err(OpenError::Unreached) => Err(Unavailable::Unreached),
-        }
+        });
     }
 
-    fn lend(self: &Arc<Self>, number: u64, link: Link) -> Loan {
+    fn lend(self: &Arc<Self>, (number, link): Given) -> Loan {
         Loan {
             pool: Arc::clone(self),
             number,
-            link: Some(link),
+            link: Some(*link),
         }
     }
 
-    /// A session that is handed something has gone meanwhile: the next one gets it.
-    fn give_back(&self, given: Given) {
-        let mut inner = lock(&self.inner);
-        match given {
-            Given::Link(number, link) => inner.release(number, *link),
-            Given::Place => inner.not_opened(),
+    /// Hands a connection on, or keeps it.
+    fn release(self: &Arc<Self>, inner: &mut Inner, number: u64, link: Link) {
+        inner.places.set_values(number, sum_of(&link.values));
+        match inner.places.release(now_ms(), number) {
+            Release::Keep => {
+                inner.free.insert(number, link);
+            }
+            Release::Give(ticket) => {
+                let given = (number, Box::new(link));
+                let unsent = match inner.waiting.remove(&ticket) {
+                    Some(waiter) => waiter.send(given).err(),
+                    None => Some(given),
+                };
+                if let Some((number, link)) = unsent {
+                    self.release(inner, number, *link);
+                }
+            }
+            Release::Replace(workspace) => self.open(workspace),
+        }
+    }
+
+    fn closed(self: &Arc<Self>, number: u64) {
+        let next = lock(&self.inner).places.closed(now_ms(), number);
+        if let Some(workspace) = next {
+            self.open(workspace);
         }
     }
 }
 
-/// The right to open a connection; given back when dropped.
-struct Place<'a>(Option<&'a Arc<Pool>>);
+/// The place of a connection that is being opened; given up when dropped.
+struct Place<'a> {
+    pool: &'a Arc<Pool>,
+    workspace: Option<Name>,
+}
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        if let Some(pool) = self.0 {
-            lock(&pool.inner).not_opened();
+        let Some(workspace) = self.workspace.take() else {
+            return;
+        };
+        let next = lock(&self.pool.inner)
+            .places
+            .not_opened(now_ms(), &workspace);
+        if let Some(workspace) = next {
+            self.pool.open(workspace);
         }
     }
 }
@@ -241,67 +276,54 @@
             inner.places.leave(self.ticket);
             inner.waiting.remove(&self.ticket);
         }
-        if let Ok(given) = self.given.try_recv() {
-            self.pool.give_back(given);
+        if let Ok((number, link)) = self.given.try_recv() {
+            self.pool
+                .release(&mut lock(&self.pool.inner), number, *link);
         }
     }
 }
 
 impl Inner {
-    fn take(&mut self, wish: Wish<'_>, insist: bool) -> Option<Given> {
+    /// A free connection, and whether one is to be opened.
+    fn take(&mut self, wish: Wish<'_>, insist: bool) -> (Option<Given>, bool) {
         let values = sum_of(wish.values);
         loop {
             match self.places.take(now_ms(), wish.workspace, values, insist) {
                 Take::Reuse(number) => match self.free.remove(&number) {
                     Some(link) if link.is_usable() => {
-                        return Some(Given::Link(number, Box::new(link)));
+                        return (Some((number, Box::new(link))), false);
                     }
-                    _ => self.closed(number),
+                    _ => self.places.forget(number),
                 },
-                Take::Open => return Some(Given::Place),
+                Take::Open => return (None, true),
                 Take::Replace(number) => {
                     self.free.remove(&number);
-                    return Some(Given::Place);
+                    return (None, true);
                 }
-                Take::Wait => return None,
-            }
-        }
-    }
-
-    /// Hands a connection on, or keeps it.
-    fn release(&mut self, number: u64, link: Link) {
-        self.places.set_values(number, sum_of(&link.values));
-        match self.places.release(now_ms(), number) {
-            Release::Keep => {
-                self.free.insert(number, link);
+                Take::Wait => return (None, false),
             }
-            Release::Give(ticket) => self.give(ticket, Given::Link(number, Box::new(link))),
-            Release::Replace(ticket) => self.give(ticket, Given::Place),
         }
     }
 
-    fn closed(&mut self, number: u64) {
-        if let Some(ticket) = self.places.closed(number) {
-            self.give(ticket, Given::Place);
+    /// Notes that a connection could not be opened.
+    fn fail(&mut self, error: OpenError) {
+        let now = now_ms();
+        let (pause, error) = match error {
+            OpenError::Refused(code) => (CROWDED_MS, Unavailable::Refused(code)),
+            OpenError::Unreached => (UNREACHED_MS, Unavailable::Unreached),
+        };
+        self.places.crowd(now + pause);
+        self.failed = Some((now + pause, error));
+        // Whoever waits is told by the closed channel, unless a connection in use may still come free.
+        if self.places.is_empty() {
+            self.waiting.clear();
         }
     }
 
-    fn not_opened(&mut self) {
-        if let Some(ticket) = self.places.not_opened() {
-            self.give(ticket, Given::Place);
-        }
-    }
-
-    fn give(&mut self, ticket: Ticket, given: Given) {
-        let unsent = match self.waiting.remove(&ticket) {
-            Some(waiter) => waiter.send(given).err(),
-            None => Some(given),
-        };
-        match unsent {
-            Some(Given::Link(number, link)) => self.release(number, *link),
-            Some(Given::Place) => self.not_opened(),
-            None => {}
-        }
+    /// Why nothing can be had here for a moment.
+    fn failure(&self) -> Option<Unavailable> {
+        let (until, error) = self.failed?;
+        (now_ms() < until && self.places.is_empty()).then_some(error)
     }
 }
 
@@ -331,7 +353,7 @@
     /// Closes the connection; the member then rolls back what is open on it.
     pub(crate) fn spoil(&mut self) {
         if self.link.take().is_some() {
-            lock(&self.pool.inner).closed(self.number);
+            self.pool.closed(self.number);
         }
     }
 }
@@ -339,7 +361,8 @@
 impl Drop for Loan {
     fn drop(&mut self) {
         if let Some(link) = self.link.take() {
-            lock(&self.pool.inner).release(self.number, link);
+            let mut inner = lock(&self.pool.inner);
+            self.pool.release(&mut inner, self.number, link);
         }
     }
 }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Code, Query, Shape, Site,
-    admission::{Operation, Refusal},
+    admission::{Operation, Refusal, Trail},
     board::Hold,
     link::{Answer, Values},
     pool::{Loan, Pool, Unavailable, Wish},
@@ -67,8 +67,8 @@
 pub(crate) enum Miss {
     /// It may not run any more, at any member.
     Refused(Refusal),
-    /// It did not run at this member.
-    NotRun,
+    /// It did not run at this member, and why.
+    NotRun(&'static str),
     /// It ran and failed.
     Failed(Answer),
     /// No answer came.
@@ -147,6 +147,7 @@
     pub(crate) async fn read(self: &Arc<Self>, work: Work) -> Result<Answer, Refusal> {
         let work = Arc::new(work);
         let mut tried: Vec<Name> = Vec::new();
+        let mut trail = Trail::default();
         let mut running = JoinSet::new();
         let mut attempts = 0;
         let mut failed = None;
@@ -154,52 +155,65 @@
             let now = now_ms();
             if now >= work.deadline {
                 running.detach_all();
-                return Err(Refusal::new(Code::Busy, "no result in time"));
+                let refusal = Refusal::new(Code::Busy, "no result in time");
+                return Err(refusal.after(trail));
             }
             let world = self.world();
             work.operation.is_permitted(&world, false)?;
             let choice = self.choose(&world, &work.operation, work.watermark, &tried);
-            let Some(choice) = choice.filter(|_| attempts < MAX_ATTEMPTS) else {
-                if running.is_empty() {
+            let choice = choice.filter(|_| attempts < MAX_ATTEMPTS);
+            let wait = match choice {
+                Some(choice) => {
+                    attempts += 1;
+                    tried.push(choice.name.clone());
+                    let hedge = choice.pool.load().latency_ms() * HEDGE_LATENCIES;
+                    running.spawn(Arc::clone(self).attempt(Arc::clone(&work), choice));
+                    Duration::from_millis(hedge.max(HEDGE_MS)).min(work.left(now))
+                }
+                None if !running.is_empty() => work.left(now),
+                None => {
                     if let Some(answer) = failed {
                         return Ok(answer);
                     }
                     if now >= work.operation.patience() || attempts >= MAX_ATTEMPTS {
-                        return Err(Refusal::new(Code::Busy, "no member can serve the read"));
+                        let refusal = Refusal::new(Code::Busy, "no member can serve the read");
+                        return Err(refusal.after(trail));
                     }
                     tried.clear();
                     sleep(ROUND_PAUSE).await;
                     continue;
                 }
-                match timeout(work.left(now), running.join_next()).await {
-                    Ok(Some(Ok(Ok(answer)))) => {
-                        running.detach_all();
-                        return Ok(answer);
-                    }
-                    Ok(Some(Ok(Err(Miss::Refused(refusal))))) => return Err(refusal),
-                    Ok(Some(Ok(Err(Miss::Failed(answer))))) => failed = Some(answer),
-                    _ => {}
-                }
+            };
+            let Ok(Some(Ok((member, outcome)))) = timeout(wait, running.join_next()).await else {
+                self.metrics.retry();
                 continue;
             };
-            attempts += 1;
-            tried.push(choice.name.clone());
-            let hedge = choice.pool.load().latency_ms() * HEDGE_LATENCIES;
-            let hedge = Duration::from_millis(hedge.max(HEDGE_MS)).min(work.left(now));
-            running.spawn(Arc::clone(self).attempt(Arc::clone(&work), choice));
-            match timeout(hedge, running.join_next()).await {
-                Ok(Some(Ok(Ok(answer)))) => {
+            match outcome {
+                Ok(answer) => {
                     running.detach_all();
                     return Ok(answer);
                 }
-                Ok(Some(Ok(Err(Miss::Refused(refusal))))) => return Err(refusal),
-                Ok(Some(Ok(Err(Miss::Failed(answer))))) => failed = Some(answer),
-                _ => self.metrics.retry(),
+                Err(Miss::Refused(refusal)) => return Err(refusal.after(trail)),
+                Err(Miss::Failed(answer)) => {
+                    trail.add(&member, "failed");
+                    failed = Some(answer);
+                }
+                Err(Miss::NotRun(why)) => trail.add(&member, why),
+                Err(Miss::Lost) => trail.add(&member, "lost"),
             }
         }
     }
 
-    async fn attempt(self: Arc<Self>, work: Arc<Work>, choice: Choice) -> Result<Answer, Miss> {
+    async fn attempt(
+        self: Arc<Self>,
+        work: Arc<Work>,
+        choice: Choice,
+    ) -> (Name, Result<Answer, Miss>) {
+        let outcome = self.try_read(&work, &choice).await;
+        (choice.name, outcome)
+    }
+
+    async fn try_read(&self, work: &Work, choice: &Choice) -> Result<Answer, Miss> {
         let service = &work.operation.route.service;
         let limit = work
             .left(now_ms())
@@ -209,8 +223,8 @@
         let mut loan = match place {
             Ok(loan) => loan,
             Err(error) => {
-                self.missed(&choice, service, error);
-                return Err(Miss::NotRun);
+                self.missed(choice, service, error);
+                return Err(Miss::NotRun(error.into()));
             }
         };
         let term = choice.hold.as_ref().map(Hold::term);
@@ -235,7 +249,7 @@
                 }
                 match &answer.outcome {
                     Ok(_) => Ok(answer),
-                    Err((code, _)) if code.is_not_run() => Err(Miss::NotRun),
+                    Err((code, _)) if code.is_not_run() => Err(Miss::NotRun((*code).into())),
                     Err(_) => Err(Miss::Failed(answer)),
                 }
             }
@@ -286,7 +300,7 @@
     ) -> Result<(u64, Answer), Miss> {
         let left = work.left(now_ms());
         let Some(link) = loan.link() else {
-            return Err(Miss::NotRun);
+            return Err(Miss::NotRun("no connection"));
         };
         let shape = work.shape.as_ref().map(|(name, shape)| (name, shape));
         let setup = link.setup(&work.values, shape);
@@ -295,18 +309,18 @@
             let good = matches!(&done, Ok(Ok(Some(answer))) if answer.outcome.is_ok());
             if !good {
                 loan.spoil();
-                return Err(Miss::NotRun);
+                return Err(Miss::NotRun("no connection"));
             }
         }
         if let Err(refusal) = work.operation.is_permitted(&self.world(), hold.is_some()) {
             return Err(Miss::Refused(refusal));
         }
         if hold.is_some_and(|hold| !hold.is_current()) {
-            return Err(Miss::NotRun);
+            return Err(Miss::NotRun("no connection"));
         }
         let sent_at = now_ms();
         let Some(link) = loan.link() else {
-            return Err(Miss::NotRun);
+            return Err(Miss::NotRun("no connection"));
         };
         match timeout(work.left(sent_at), link.run(query)).await {
             Ok(Ok(answer)) => {
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -389,16 +389,16 @@
             Code::InDoubt => Event::OutcomeUnknown,
             _ => Event::NotRun,
         };
-        let code = format!("{:?}", refusal.code);
         let catalog = &world.state.catalog;
         let holder = self.key.as_ref().and_then(|key| catalog.workspace_of(key));
         let workspace = holder.map_or("-", |holder| holder);
-        let fields: [(&str, &dyn std::fmt::Display); 7] = [
+        let fields: [(&str, &dyn std::fmt::Display); 8] = [
             ("id", id),
             ("workspace", &workspace),
             ("database", &self.database),
-            ("code", &code),
+            ("code", &refusal.code),
             ("reason", &refusal.reason),
+            ("trail", &refusal.trail),
             ("configuration", &catalog.version()),
             ("lease_ms", &world.lease.remaining(now_ms())),
         ];
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Code, Query, Site,
-    admission::Refusal,
+    admission::{Refusal, Trail},
     link::Answer,
     read::{Choice, Miss, Work},
 };
@@ -37,13 +37,14 @@
     /// Runs a write. A refusal says that it has not run, except for [`Code::InDoubt`].
     pub(crate) async fn write(self: &Arc<Self>, work: &Work) -> Result<Answer, Refusal> {
         let service = &work.operation.route.service;
+        let mut trail = Trail::default();
         loop {
             let now = now_ms();
             let world = self.world();
             work.operation.is_permitted(&world, true)?;
             let Some(choice) = self.primary(&world, service) else {
                 if now >= work.operation.patience() {
-                    return Err(Refusal::new(Code::Busy, "no primary"));
+                    return Err(Refusal::new(Code::Busy, "no primary").after(trail));
                 }
                 sleep(AGAIN).await;
                 continue;
@@ -53,12 +54,18 @@
                 Err(Miss::Failed(answer)) => return Ok(answer),
                 Err(Miss::Refused(refusal)) => return Err(refusal),
                 Err(Miss::Lost) => {
-                    return Err(Refusal::new(Code::InDoubt, "no answer from the primary"));
+                    trail.add(&choice.name, "lost");
+                    let refusal = Refusal::new(Code::InDoubt, "no answer from the primary");
+                    return Err(refusal.after(trail));
                 }
-                Err(Miss::NotRun) if now_ms() >= work.operation.patience() => {
-                    return Err(Refusal::new(Code::Busy, "the primary has no place"));
+                Err(Miss::NotRun(why)) => {
+                    trail.add(&choice.name, why);
+                    if now_ms() >= work.operation.patience() {
+                        let refusal = Refusal::new(Code::Busy, "the primary has no place");
+                        return Err(refusal.after(trail));
+                    }
+                    sleep(AGAIN).await;
                 }
-                Err(Miss::NotRun) => sleep(AGAIN).await,
             }
         }
     }
@@ -72,11 +79,11 @@
             Ok(loan) => loan,
             Err(error) => {
                 self.missed(choice, service, error);
-                return Err(Miss::NotRun);
+                return Err(Miss::NotRun(error.into()));
             }
         };
         let Some(hold) = choice.hold.as_ref() else {
-            return Err(Miss::NotRun);
+            return Err(Miss::NotRun("released"));
         };
         let query = Query {
             id: work.id.clone(),
@@ -107,7 +114,7 @@
                 }
                 Ok(answer)
             }
-            Err((code, _)) if code.is_not_run() => Err(Miss::NotRun),
+            Err((code, _)) if code.is_not_run() => Err(Miss::NotRun((*code).into())),
             Err(_) => Err(Miss::Failed(answer)),
         }
     }
