--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -164,6 +164,8 @@
     began_at: u64,
     seen: BTreeMap<Name, Seen>,
     asking: BTreeMap<Name, Asking>,
+    /// Member that was the primary of the term that is left; its last position counts.
+    stepping: Option<Name>,
     stepped: Option<Position>,
     stepped_at: u64,
     promoted: Option<(Name, u64)>,
@@ -236,7 +238,7 @@
             Order::Pause(..) => {
                 self.resume.insert(member.clone());
             }
-            Order::StepDown(..) if !row.primary => {
+            Order::StepDown(..) if !row.primary && self.stepping.as_ref() == Some(member) => {
                 self.stepped = Some(row.received);
                 self.stepped_at = asked_at;
             }
@@ -312,6 +314,7 @@
         self.began_at = now;
         self.seen.clear();
         self.asking.clear();
+        self.stepping = None;
         self.stepped = None;
         self.promoted = None;
         self.proposed_at = None;
@@ -403,10 +406,12 @@
     // During a change
 
     fn drive(&mut self, now: u64, facts: &Facts<'_>, change: Change) -> Vec<Order> {
+        let group = facts.group;
+        self.take_up(group);
+        self.stepping = self.old_primary(group);
         if let Some(orders) = self.arrive(now, facts, change) {
             return orders;
         }
-        let group = facts.group;
         let old = group.lead.as_ref().map(|lead| lead.member.clone());
         let term = self.next_term(group);
         let planned = change.planned && now < self.began_at + PLANNED_WAIT_MS;
@@ -422,7 +427,10 @@
             let seen = self.seen.get(&name);
             let paused = seen.is_some_and(|seen| seen.row.held >= term);
             let current = paused && seen.is_some_and(|seen| seen.settled);
-            let order = if planned || paused || self.stepped.is_some() {
+            let order = if seen.is_some_and(|seen| seen.row.primary) {
+                // The old primary under another name after a restart, or one of an older term.
+                Order::StepDown(name, term)
+            } else if planned || paused || self.stepped.is_some() {
                 Order::Look(name)
             } else {
                 Order::Pause(name, term)
@@ -437,6 +445,29 @@
         orders
     }
 
+    /// The primary of the term that is left: also where it came back under another name.
+    fn old_primary(&self, group: &Group) -> Option<Name> {
+        let lead = group.lead.as_ref()?;
+        if group.members.contains_key(&lead.member) {
+            return Some(lead.member.clone());
+        }
+        let mut seen = self.seen.iter();
+        let again = seen.find(|(_, seen)| seen.row.primary && seen.row.term == lead.term);
+        again
+            .map(|(name, _)| name.clone())
+            .or_else(|| self.stepping.clone())
+    }
+
+    /// Takes up a member that an earlier leader has promoted: only leaders promote, and with a proof.
+    fn take_up(&mut self, group: &Group) {
+        let left = group.lead.as_ref().map_or(0, |lead| lead.term);
+        let mut others = self.seen.iter().filter(|(name, _)| !group.is_primary(name));
+        let found = others.find(|(_, seen)| seen.row.primary && seen.row.term > left);
+        if let Some((name, seen)) = found.filter(|_| self.promoted.is_none()) {
+            self.promoted = Some((name.clone(), seen.at));
+        }
+    }
+
     /// Watches a promoted member until it leads and the hosts have let go; `None` before a promotion.
     fn arrive(&mut self, now: u64, facts: &Facts<'_>, change: Change) -> Option<Vec<Order>> {
         let (member, at) = self.promoted.clone()?;
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -1,8 +1,10 @@
 //! Single changes of primary, one cause each.
 
 use hemlockcrank_core::{
+    Name,
     group::{Age, Edit, Standing},
     session::Position,
+    succession::{Order, Succession},
 };
 
 use crate::model::Site;
@@ -147,6 +149,55 @@
     assert_eq!(&*site.lead().member, "a");
 }
 
+#[test]
+fn a_new_leader_takes_up_what_the_old_one_has_promoted() {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    site.real("a").down = true;
+    site.failing_ms = Some(500);
+    for _ in 0..SECOND {
+        site.tick(|order| matches!(order, Order::Commit(Edit::Finish { .. })));
+    }
+    let promoted: Vec<Name> = site
+        .real
+        .iter()
+        .filter(|(_, real)| real.primary && !real.down)
+        .map(|(name, _)| name.clone())
+        .collect();
+    assert_eq!(promoted.len(), 1, "one is promoted, and not yet granted");
+
+    site.succession = Succession::new(site.group());
+    site.release(false);
+    site.ticks(SECOND);
+
+    assert_eq!(site.change(), None);
+    assert_eq!(site.lead().member, promoted[0]);
+}
+
+#[test]
+fn a_primary_that_came_back_under_another_name_is_asked_to_step_down() {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    let again = site.real["a"].clone();
+    site.real.insert("z".into(), again);
+    site.real.remove("a");
+    let age = Age {
+        born: 1,
+        seq: u64::MAX,
+    };
+    site.announce("z", Standing::Ready);
+    site.commit(Edit::Depart {
+        member: "a".into(),
+        age,
+    });
+
+    site.ticks(SECOND);
+    site.release(false);
+    site.ticks(SECOND);
+
+    assert_eq!(site.change(), None);
+}
+
 #[test]
 fn a_primary_cut_from_its_replicas_steps_down_and_paused_replicas_go_on() {
     let mut site = Site::new();
