--- /dev/null
+++ b/crates/hemlockcrank_core/tests/site.rs
@@ -0,0 +1,372 @@
+//! Configurations submitted whole, members that come and go, floors and sights.
+
+use std::sync::Arc;
+
+use hemlockcrank_core::{
+    catalog::{Catalog, Draft, Freshness, Invalid, Route, Service, Workspace},
+    floor::{Anchor, Floor, Sample, from_leader},
+    group::{Age, Edit, Group, Groups, Lead, Member, Notice, Standing},
+    session::Position,
+    sight::{Sight, Sightings},
+    state::{Command, Reply, State},
+};
+
+fn route(name: &str, database: &str) -> Route {
+    Route {
+        name: name.into(),
+        database: database.into(),
+        prefix: "/".into(),
+        service: "s".into(),
+        freshness: Freshness::Bounded,
+        max_age_ms: 1_500,
+        timeout_ms: 2_000,
+        objective_ms: 600,
+        priority: 2,
+        open: false,
+    }
+}
+
+fn draft(version: u64) -> Draft {
+    let service = Service {
+        name: "s".into(),
+        connections: 21,
+        sync_replicas: 1,
+    };
+    Draft {
+        version,
+        routes: vec![route("r1", "db1"), route("r2", "db2")],
+        services: vec![service],
+        workspaces: vec![workspace("w1", "k1"), workspace("w2", "k2")],
+        ..Draft::default()
+    }
+}
+
+fn workspace(name: &str, key: &str) -> Workspace {
+    Workspace {
+        name: name.into(),
+        keys: vec![key.into()],
+        rate: None,
+    }
+}
+
+fn notice(member: &str, port: u16, born: u64, seq: u64) -> Notice {
+    Notice {
+        service: "s".into(),
+        member: member.into(),
+        data: Member {
+            address: ([127, 0, 0, 1], port).into(),
+            zone: "z".into(),
+            slots: 3,
+            standing: Standing::Ready,
+            age: Age { born, seq },
+        },
+        leads: false,
+    }
+}
+
+fn apply(state: &mut State, command: Command) -> Reply {
+    state.apply(state.index + 1, Some(&command))
+}
+
+fn announce(state: &mut State, notice: Notice) -> Reply {
+    apply(state, Command::Group(Edit::Announce(notice)))
+}
+
+fn members(groups: &Groups) -> Vec<&str> {
+    let group = groups.get("s").expect("group");
+    group.members.keys().map(|name| &**name).collect()
+}
+
+// -------------------------------------------------------------------------------------------------
+// Configurations
+
+#[test]
+fn the_highest_version_wins_whatever_the_order() {
+    let mut state = State::default();
+    for version in [3, 7, 5, 7] {
+        let catalog = Catalog::check(draft(version)).expect("good");
+        apply(&mut state, Command::Catalog(Arc::new(catalog)));
+    }
+
+    assert_eq!(state.catalog.version(), 7);
+}
+
+#[test]
+fn other_content_under_the_version_held_is_not_in_force() {
+    let mut state = State::default();
+    let first = Catalog::check(draft(3)).expect("good");
+    apply(&mut state, Command::Catalog(Arc::new(first)));
+    let mut other = draft(3);
+    other.workspaces.clear();
+    let other = Catalog::check(other).expect("good");
+
+    let reply = apply(&mut state, Command::Catalog(Arc::new(other)));
+
+    assert_eq!(reply, Reply::Stale);
+    assert!(state.catalog.workspace_of("k1").is_some());
+}
+
+#[test]
+fn contradictions_are_refused_as_a_whole() {
+    let mut shared = draft(1);
+    shared.workspaces[1].keys.push("k1".into());
+    let mut place = draft(1);
+    place.routes[1].database = "db1".into();
+    let mut service = draft(1);
+    service.services.clear();
+    let mut timeout = draft(1);
+    timeout.routes[0].timeout_ms = 0;
+
+    assert!(matches!(
+        Catalog::check(shared),
+        Err(Invalid::SharedKey { .. })
+    ));
+    assert!(matches!(
+        Catalog::check(place),
+        Err(Invalid::SamePlace { .. })
+    ));
+    assert!(matches!(
+        Catalog::check(service),
+        Err(Invalid::UnknownService { .. })
+    ));
+    assert!(matches!(
+        Catalog::check(timeout),
+        Err(Invalid::NoTimeout { .. })
+    ));
+}
+
+#[test]
+fn the_same_key_twice_in_one_workspace_is_no_contradiction() {
+    let mut twice = draft(1);
+    twice.workspaces[0].keys.push("k1".into());
+
+    assert!(Catalog::check(twice).is_ok());
+}
+
+// -------------------------------------------------------------------------------------------------
+// Members
+
+#[test]
+fn a_late_announcement_undoes_nothing() {
+    let mut state = State::default();
+    announce(&mut state, notice("m", 1, 100, 9));
+    let mut leaving = notice("m", 1, 100, 10);
+    leaving.data.standing = Standing::Leaving;
+    announce(&mut state, leaving);
+
+    let reply = announce(&mut state, notice("m", 1, 100, 9));
+
+    assert_eq!(reply, Reply::Stale);
+    let (_, member) = state.groups.find("m").expect("member");
+    assert_eq!(member.standing, Standing::Leaving);
+}
+
+#[test]
+fn a_member_that_restarted_counts_anew() {
+    let mut state = State::default();
+    announce(&mut state, notice("m", 1, 100, 50));
+
+    let reply = announce(&mut state, notice("m", 1, 200, 1));
+
+    assert_eq!(reply, Reply::Done);
+}
+
+#[test]
+fn an_address_belongs_to_the_member_that_started_there_last() {
+    let mut state = State::default();
+    announce(&mut state, notice("old", 1, 100, 5));
+    announce(&mut state, notice("new", 1, 200, 1));
+
+    let late = announce(&mut state, notice("old", 1, 100, 6));
+
+    assert_eq!(late, Reply::Stale);
+    assert_eq!(members(&state.groups), ["new"]);
+}
+
+#[test]
+fn a_departed_member_does_not_come_back_by_a_late_announcement() {
+    let mut state = State::default();
+    announce(&mut state, notice("m", 1, 100, 5));
+    let age = Age {
+        born: 100,
+        seq: u64::MAX,
+    };
+    let member = "m".into();
+    apply(&mut state, Command::Group(Edit::Depart { member, age }));
+
+    let late = announce(&mut state, notice("m", 1, 100, 6));
+    let again = announce(&mut state, notice("m", 1, 200, 1));
+
+    assert_eq!((late, again), (Reply::Stale, Reply::Done));
+}
+
+#[test]
+fn a_repeated_announcement_is_no_news() {
+    let mut state = State::default();
+    announce(&mut state, notice("m", 1, 100, 5));
+
+    assert!(!state.groups.is_news(&notice("m", 1, 100, 6)));
+}
+
+#[test]
+fn a_term_never_falls() {
+    let mut state = State::default();
+    announce(&mut state, notice("a", 1, 1, 1));
+    announce(&mut state, notice("b", 2, 1, 1));
+    let finish = |member: &str, term| {
+        let lead = Lead {
+            member: member.into(),
+            term,
+        };
+        Command::Group(Edit::Finish {
+            service: "s".into(),
+            change: None,
+            lead,
+        })
+    };
+    apply(&mut state, finish("a", 4));
+
+    let reply = apply(&mut state, finish("b", 3));
+
+    assert_eq!(reply, Reply::Stale);
+}
+
+// -------------------------------------------------------------------------------------------------
+// Floors
+
+fn sample(at: u64, index: u64) -> Sample {
+    Sample {
+        at,
+        position: Position::new(1, index),
+    }
+}
+
+#[test]
+fn a_floor_is_the_oldest_sample_that_is_fresh_enough() {
+    let mut floor = Floor::default();
+    for (at, index) in [(1_000, 10), (1_500, 20), (2_000, 30)] {
+        floor.add(1, sample(at, index));
+    }
+
+    assert_eq!(floor.at_or_after(1, 1_200), Some(Position::new(1, 20)));
+    assert_eq!(floor.at_or_after(1, 2_100), None);
+}
+
+#[test]
+fn samples_of_an_older_term_say_nothing_about_the_present_one() {
+    let mut floor = Floor::default();
+    floor.add(1, sample(1_000, 10));
+    floor.add(2, sample(1_100, 11));
+    floor.add(1, sample(1_200, 12));
+
+    assert_eq!(floor.at_or_after(1, 900), None);
+    assert_eq!(floor.at_or_after(2, 900), Some(Position::new(1, 11)));
+}
+
+#[test]
+fn a_merged_sample_is_never_lower_than_what_it_stands_for() {
+    let mut floor = Floor::default();
+    floor.add(1, sample(1_000, 10));
+    floor.add(1, sample(1_005, 15));
+
+    assert_eq!(floor.at_or_after(1, 1_000), Some(Position::new(1, 15)));
+}
+
+/// Clocks that differ by any amount, and messages held up for any time: the time that a sample has on
+/// another host is never later than when it was really taken.
+#[test]
+fn a_sample_carried_between_clocks_only_grows_older() {
+    for (leader_ahead, delay) in [(0, 0), (5_000, 3), (90_000, 700), (17, 40_000)] {
+        // True times: the host hears the leader at 100, takes a sample at 250, the leader has it at
+        // 250 + delay, another host asks at 300 + delay and is answered at 305 + delay.
+        let anchor = Anchor {
+            leadership: 1,
+            leader_ms: 95 + leader_ahead,
+            received_ms: 100,
+        };
+        let at_leader = anchor.to_leader(250).expect("after the anchor");
+        assert!(at_leader <= 250 + leader_ahead);
+        let answered_at = 305 + delay + leader_ahead;
+        let age = answered_at - at_leader;
+
+        let there = from_leader(300 + delay, age);
+
+        assert!(
+            there.is_none_or(|at| at <= 250),
+            "{there:?} for {leader_ahead}, {delay}"
+        );
+    }
+}
+
+#[test]
+fn a_sample_older_than_the_anchor_is_not_carried() {
+    let anchor = Anchor {
+        leadership: 1,
+        leader_ms: 0,
+        received_ms: 100,
+    };
+
+    assert_eq!(anchor.to_leader(99), None);
+}
+
+// -------------------------------------------------------------------------------------------------
+// Sights
+
+fn sight(failing_ms: Option<u64>, served_ms: Option<u64>) -> Sight {
+    Sight {
+        service: "s".into(),
+        term: 1,
+        failing_ms,
+        served_ms,
+        acknowledged: Position::new(1, 5),
+        released: None,
+        sample: None,
+    }
+}
+
+#[test]
+fn one_host_that_is_served_speaks_for_the_primary() {
+    let mut sightings = Sightings::new(1);
+    sightings.note(1_000, &"h1".into(), vec![sight(Some(400), None)]);
+    assert_eq!(sightings.failing_ms(1_000, "s", 1), Some(400));
+
+    sightings.note(1_000, &"h2".into(), vec![sight(None, Some(10))]);
+
+    assert_eq!(sightings.failing_ms(1_000, "s", 1), None);
+}
+
+#[test]
+fn a_silent_host_is_waited_out_and_its_word_is_missing() {
+    let sightings = Sightings::new(1);
+    let mut state = State::default();
+    announce(&mut state, notice("a", 1, 1, 1));
+    let begin = Edit::Begin {
+        service: "s".into(),
+        term: 0,
+        planned: false,
+    };
+    apply(&mut state, Command::Group(begin));
+    let group: &Group = state.groups.get("s").expect("group");
+    let host = "h1".into();
+
+    let early = sightings.settled(999, "s", group, [(&host, 1_000)]);
+    let late = sightings.settled(1_000, "s", group, [(&host, 1_000)]);
+
+    assert_eq!((early.all, early.exact), (false, false));
+    assert_eq!((late.all, late.exact), (true, false));
+}
+
+#[test]
+fn samples_by_another_leaders_clock_are_dropped() {
+    let mut sightings = Sightings::new(2);
+    let mut old = sight(None, Some(1));
+    old.sample = Some((1, sample(500, 9)));
+    let mut good = sight(None, Some(1));
+    good.sample = Some((2, sample(600, 9)));
+
+    sightings.note(1_000, &"h1".into(), vec![old]);
+    assert_eq!(sightings.newest().count(), 0);
+    sightings.note(1_000, &"h1".into(), vec![good]);
+
+    assert_eq!(sightings.newest().count(), 1);
+}
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -13,6 +13,8 @@
 };
 use crate::{clock::now_ms, control::World};
 
+/// Longest wait for a connection, in milliseconds.
+const PLACE_LIMIT_MS: u64 = 150;
 /// Pause before a statement that did not run is tried again.
 const AGAIN: Duration = Duration::from_millis(15);
 
@@ -72,8 +74,9 @@
 
     async fn try_write(self: &Arc<Self>, work: &Work, choice: &Choice) -> Result<Answer, Miss> {
         let service = &work.operation.route.service;
-        let patience = work.operation.patience().max(now_ms() + 1);
-        let limit = Duration::from_millis(patience - now_ms());
+        let limit = work
+            .left(now_ms())
+            .min(Duration::from_millis(PLACE_LIMIT_MS));
         let _busy = choice.pool.busy();
         let mut loan = match choice.pool.acquire(work.wish(), limit).await {
             Ok(loan) => loan,
