--- a/crates/hemlockcrank_core/src/places.rs
+++ b/crates/hemlockcrank_core/src/places.rs
@@ -101,11 +101,25 @@
         }
     }
 
-    /// Changes the room; connections over it are closed as they come free.
+    /// Changes the room; see [`Places::trim`].
     pub fn set_capacity(&mut self, capacity: usize) {
         self.capacity = capacity;
     }
 
+    /// Takes out the free connections that are over the room, least used workspaces first. They are to be
+    /// closed: other hosts count on the places.
+    pub fn trim(&mut self, now: u64) -> Vec<Link> {
+        let mut over = Vec::new();
+        while self.held.len() + self.opening.len() > self.capacity {
+            let Some(link) = self.rank_free(now).map(|(_, link)| link) else {
+                break;
+            };
+            self.held.remove(&link);
+            over.push(link);
+        }
+        over
+    }
+
     /// The member refused one more connection: none is opened before `until`.
     pub fn crowd(&mut self, until: u64) {
         self.crowded_until = until;
@@ -294,6 +308,12 @@
     /// than the taker's own.
     fn least_used(&mut self, now: u64, taker: &Name, insist: bool) -> Option<Link> {
         let own = self.weight(now, taker).max(USE);
+        let (each, link) = self.rank_free(now)?;
+        (insist || each * 100 <= own * TAKE_PERCENT).then_some(link)
+    }
+
+    /// The free connection of the least used workspace, with the use of each of that workspace's.
+    fn rank_free(&mut self, now: u64) -> Option<(u64, Link)> {
         let free: Vec<(Link, Name, u64)> = self
             .held
             .iter()
@@ -313,8 +333,7 @@
                 best = Some(rank);
             }
         }
-        let (each, _, link) = best?;
-        (insist || each * 100 <= own * TAKE_PERCENT).then_some(link)
+        best.map(|(each, _, link)| (each, link))
     }
 
     fn weight(&mut self, now: u64, workspace: &Name) -> u64 {
--- a/crates/hemlockcrank_core/tests/places.rs
+++ b/crates/hemlockcrank_core/tests/places.rs
@@ -121,6 +121,28 @@
     assert_eq!(taken, [Take::Open, Take::Open, Take::Wait, Take::Wait]);
 }
 
+/// Hosts that left for a while had lent their places to the others; when they come back, a member refuses
+/// them as long as the others keep what they have.
+#[test]
+fn free_connections_over_the_room_are_closed_and_busy_ones_when_they_come_free() {
+    let mut places = Places::new(3);
+    let links = ["a", "b"].map(|name| open(&mut places, 0, name));
+    let busy = open(&mut places, 0, "c");
+    for link in links {
+        places.release(1, link);
+    }
+
+    places.set_capacity(1);
+    let first = places.trim(2);
+    let before = places.trim(3);
+    places.set_capacity(0);
+    places.release(4, busy);
+
+    assert_eq!(first.len(), 2, "the busy one stays");
+    assert!(before.is_empty());
+    assert_eq!(places.trim(5), [busy]);
+}
+
 /// Eight workspaces of unequal size before three connections: the load of one host at one member. Counts
 /// how many statements open a connection, and that there are never more than three.
 #[test]
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -97,7 +97,9 @@
 
     /// Changes how many connections this host may have.
     pub(crate) fn set_capacity(&self, capacity: usize) {
-        lock(&self.inner).places.set_capacity(capacity);
+        let mut inner = lock(&self.inner);
+        inner.places.set_capacity(capacity);
+        inner.trim();
     }
 
     /// What this host has seen of the member.
@@ -219,6 +221,7 @@
         match inner.places.release(now_ms(), number) {
             Release::Keep => {
                 inner.free.insert(number, link);
+                inner.trim();
             }
             Release::Give(ticket) => {
                 let given = (number, Box::new(link));
@@ -305,6 +308,13 @@
         }
     }
 
+    /// Closes free connections over the room.
+    fn trim(&mut self) {
+        for number in self.places.trim(now_ms()) {
+            self.free.remove(&number);
+        }
+    }
+
     /// Notes that a connection could not be opened.
     fn fail(&mut self, error: OpenError) {
         let now = now_ms();
