--- a/crates/hemlockcrank_core/tests/site.rs
+++ b/crates/hemlockcrank_core/tests/site.rs
@@ -64,12 +64,12 @@
     }
 }
 
-fn apply(state: &mut State, command: Command) -> Reply {
-    state.apply(state.index + 1, Some(&command))
+fn apply(state: &mut State, command: &Command) -> Reply {
+    state.apply(state.index + 1, Some(command))
 }
 
 fn announce(state: &mut State, notice: Notice) -> Reply {
-    apply(state, Command::Group(Edit::Announce(notice)))
+    apply(state, &Command::Group(Edit::Announce(notice)))
 }
 
 fn members(groups: &Groups) -> Vec<&str> {
@@ -85,7 +85,7 @@
     let mut state = State::default();
     for version in [3, 7, 5, 7] {
         let catalog = Catalog::check(draft(version)).expect("good");
-        apply(&mut state, Command::Catalog(Arc::new(catalog)));
+        apply(&mut state, &Command::Catalog(Arc::new(catalog)));
     }
 
     assert_eq!(state.catalog.version(), 7);
@@ -95,12 +95,12 @@
 fn other_content_under_the_version_held_is_not_in_force() {
     let mut state = State::default();
     let first = Catalog::check(draft(3)).expect("good");
-    apply(&mut state, Command::Catalog(Arc::new(first)));
+    apply(&mut state, &Command::Catalog(Arc::new(first)));
     let mut other = draft(3);
     other.workspaces.clear();
     let other = Catalog::check(other).expect("good");
 
-    let reply = apply(&mut state, Command::Catalog(Arc::new(other)));
+    let reply = apply(&mut state, &Command::Catalog(Arc::new(other)));
 
     assert_eq!(reply, Reply::Stale);
     assert!(state.catalog.workspace_of("k1").is_some());
@@ -192,7 +192,7 @@
         seq: u64::MAX,
     };
     let member = "m".into();
-    apply(&mut state, Command::Group(Edit::Depart { member, age }));
+    apply(&mut state, &Command::Group(Edit::Depart { member, age }));
 
     let late = announce(&mut state, notice("m", 1, 100, 6));
     let again = announce(&mut state, notice("m", 1, 200, 1));
@@ -224,9 +224,9 @@
             lead,
         })
     };
-    apply(&mut state, finish("a", 4));
+    apply(&mut state, &finish("a", 4));
 
-    let reply = apply(&mut state, finish("b", 3));
+    let reply = apply(&mut state, &finish("b", 3));
 
     assert_eq!(reply, Reply::Stale);
 }
@@ -345,7 +345,7 @@
         term: 0,
         planned: false,
     };
-    apply(&mut state, Command::Group(begin));
+    apply(&mut state, &Command::Group(begin));
     let group: &Group = state.groups.get("s").expect("group");
     let host = "h1".into();
 
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -209,7 +209,7 @@
         let orders = self.succession.tick(self.now, &facts);
         for order in orders {
             let lost = lose(&order);
-            self.carry_out(order, lost);
+            self.carry_out(&order, lost);
         }
     }
 
@@ -219,9 +219,9 @@
         }
     }
 
-    fn carry_out(&mut self, order: Order, lost: bool) {
+    fn carry_out(&mut self, order: &Order, lost: bool) {
         let now = self.now;
-        match &order {
+        match order {
             Order::Commit(edit) => {
                 let begins = matches!(edit, Edit::Begin { .. });
                 let before = self.change();
@@ -256,10 +256,10 @@
                     .is_some_and(|real| !real.down && !real.far);
                 let said = match reached && !lost {
                     true if self.busy => Said::Busy,
-                    true => Said::Row(self.obey(&member, &order)),
+                    true => Said::Row(self.obey(&member, order)),
                     false => Said::Nothing,
                 };
-                self.succession.answered(now, &member, &order, said);
+                self.succession.answered(now, &member, order, said);
             }
         }
     }
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -21,7 +21,7 @@
     clock::wall_ms,
     context::Context,
     control::{self, Overseer, StartError},
-    engine::{self, Board, Dialect, Site},
+    engine::{self, Board, Dialect, Parts, Site},
     event::{Event, Timeline},
     http,
     limits::{Limits, Portions},
@@ -146,16 +146,16 @@
         };
         let metrics = Arc::new(Metrics::new()?);
         let site = dialect.filter(|_| callers.is_some()).map(|dialect| {
-            Site::new(
-                dialect,
-                Arc::clone(&settings),
-                control.clone(),
-                Arc::clone(&limits),
-                Arc::clone(&portions),
+            let parts = Parts {
+                settings: Arc::clone(&settings),
+                control: control.clone(),
+                limits: Arc::clone(&limits),
+                portions: Arc::clone(&portions),
                 board,
-                Arc::clone(&timeline),
-                Arc::clone(&metrics),
-            )
+                timeline: Arc::clone(&timeline),
+                metrics: Arc::clone(&metrics),
+            };
+            Site::new(dialect, parts)
         });
         let context = Arc::new(Context {
             settings,
--- a/crates/hemlockcrank_host/src/engine.rs
+++ b/crates/hemlockcrank_host/src/engine.rs
@@ -32,3 +32,4 @@
 pub use site::Site;
 
 pub(crate) use serve::serve;
+pub(crate) use site::Parts;
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -234,7 +234,7 @@
             after: choice.after,
         };
         let outcome = self
-            .exchange(&mut loan, &work, &query, choice.hold.as_ref())
+            .exchange(&mut loan, work, &query, choice.hold.as_ref())
             .await;
         let now = now_ms();
         match outcome {
--- a/crates/hemlockcrank_host/src/engine/site.rs
+++ b/crates/hemlockcrank_host/src/engine/site.rs
@@ -40,6 +40,18 @@
     released: bool,
 }
 
+/// What a site shares with the rest of the host.
+#[derive(Debug)]
+pub(crate) struct Parts {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) control: Control,
+    pub(crate) limits: Arc<Limits>,
+    pub(crate) portions: Arc<Portions>,
+    pub(crate) board: Arc<Board>,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
 /// Everything that a session needs.
 #[derive(Debug)]
 pub struct Site {
@@ -57,25 +69,16 @@
 }
 
 impl Site {
-    pub(crate) fn new(
-        dialect: Dialect,
-        settings: Arc<Settings>,
-        control: Control,
-        limits: Arc<Limits>,
-        portions: Arc<Portions>,
-        board: Arc<Board>,
-        timeline: Arc<Timeline>,
-        metrics: Arc<Metrics>,
-    ) -> Arc<Self> {
+    pub(crate) fn new(dialect: Dialect, parts: Parts) -> Arc<Self> {
         Arc::new(Self {
             dialect,
-            settings,
-            control,
-            limits,
-            portions,
-            board,
-            timeline,
-            metrics,
+            settings: parts.settings,
+            control: parts.control,
+            limits: parts.limits,
+            portions: parts.portions,
+            board: parts.board,
+            timeline: parts.timeline,
+            metrics: parts.metrics,
             sessions: AtomicUsize::new(0),
             closing: watch::channel(false).0,
             pools: Mutex::default(),
