One way to set a connection up, to dial and to count serving hosts; what nobody used is gone

Read over as a whole. Setting up a connection, its wait, its pause and its statement stood in reads, writes and transactions each: Work has them once. Dialling from the own address stood three times: dial. The member of an order was matched in two places: Order::member. Serving hosts were filtered in three, one of them copying every host's name for each operation: View::serving. Gone, as nothing used it: the fact that a primary is quiet (always false), Sightings::forget, and Portions::held, which would have dropped a grant under way by asking anew. No behaviour changes but that connections to members ask for keep-alive, as all others did.

--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -123,6 +123,11 @@
         best.map(|listed| &listed.host.name)
     }
 
+    /// Hosts that serve callers: those that serve a platform's control are left out.
+    pub fn serving(&self) -> impl Iterator<Item = &Host> {
+        self.iter().filter(|host| host.control.is_none())
+    }
+
     /// The one serving host that owns `key`: hosts that serve a platform's control are left out.
     pub fn serving_owner(&self, key: &str) -> Option<&Name> {
         let key = hash(key);
--- a/crates/hemlockcrank_core/src/sight.rs
+++ b/crates/hemlockcrank_core/src/sight.rs
@@ -86,13 +86,6 @@
         floor.add(term, sample);
     }
 
-    /// Forgets a host that left the view. What it acknowledged stays.
-    pub fn forget(&mut self, host: &str) {
-        for hosts in self.noted.values_mut() {
-            hosts.remove(host);
-        }
-    }
-
     /// How long hosts have failed at the primary of `term` while none succeeded, in milliseconds.
     pub fn failing_ms(&self, now: u64, service: &str, term: u64) -> Option<u64> {
         let hosts = self.noted.get(service)?;
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -96,8 +96,6 @@
     pub settled: Settled,
     /// How long hosts have failed at the primary with none succeeding, in milliseconds.
     pub failing_ms: Option<u64>,
-    /// Whether the primary's own announcements have stopped.
-    pub quiet: bool,
 }
 
 /// Something to do now.
@@ -117,6 +115,20 @@
     Commit(Edit),
 }
 
+impl Order {
+    /// Member that the order is about.
+    pub fn member(&self) -> Option<&Name> {
+        match self {
+            Self::Look(member)
+            | Self::Pause(member, _)
+            | Self::Resume(member)
+            | Self::StepDown(member, _)
+            | Self::Promote(member) => Some(member),
+            Self::Commit(_) => None,
+        }
+    }
+}
+
 /// How a promotion was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Promoted {
@@ -324,22 +336,21 @@
         for member in paused {
             orders.extend(self.ask(now, false, Order::Resume(member)));
         }
-        let suspected = facts.failing_ms.is_some() || facts.quiet;
-        if !suspected {
+        let Some(failing_ms) = facts.failing_ms else {
             self.seen.remove(&lead.member);
             if let Some(asking) = self.asking.get_mut(&lead.member) {
                 asking.misses = 0;
             }
             return orders;
-        }
+        };
         let misses = self
             .asking
             .get(&lead.member)
             .map_or(0, |asking| asking.misses);
         let row = self.seen.get(&lead.member).map(|seen| seen.row);
         let deposed = row.is_some_and(|row| !row.primary || row.term != lead.term);
-        let unserved = facts.failing_ms.is_some_and(|ms| ms >= UNSERVED_MS);
-        let dead = misses >= MISSES && (facts.failing_ms.is_some() || facts.quiet);
+        let unserved = failing_ms >= UNSERVED_MS;
+        let dead = misses >= MISSES;
         if successor && (deposed || unserved || dead) {
             return self.begin(now, facts, lead.term, false);
         }
@@ -371,12 +382,7 @@
     }
 
     fn ask(&mut self, now: u64, settled: bool, order: Order) -> Option<Order> {
-        let (Order::Look(member)
-        | Order::Pause(member, _)
-        | Order::Resume(member)
-        | Order::StepDown(member, _)
-        | Order::Promote(member)) = &order
-        else {
+        let Some(member) = order.member() else {
             return Some(order);
         };
         let asking = self.asking.entry(member.clone()).or_default();
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -204,7 +204,6 @@
             sync_replicas: 1,
             settled: self.settled,
             failing_ms: self.failing_ms,
-            quiet: false,
         };
         let orders = self.succession.tick(self.now, &facts);
         for order in orders {
--- a/crates/hemlockcrank_host/src/control/actor/oversee.rs
+++ b/crates/hemlockcrank_host/src/control/actor/oversee.rs
@@ -46,7 +46,6 @@
                 sync_replicas: known.map_or(1, |known| known.sync_replicas),
                 settled: steward.settled(now, service, group, ends),
                 failing_ms: steward.sightings.failing_ms(now, service, term),
-                quiet: false,
             };
             let succession = steward.succession(service, group);
             let due = succession.tick(now, &facts);
@@ -70,7 +69,7 @@
         said: Said,
     ) -> Result<(), JournalError> {
         let now = now_ms();
-        let Some(member) = member_of(order) else {
+        let Some(member) = order.member() else {
             return Ok(());
         };
         let groups = Arc::clone(&self.state.groups);
@@ -171,7 +170,7 @@
     }
 
     fn ask_member(&self, service: &Name, order: Order) {
-        let member = member_of(&order).cloned();
+        let member = order.member().cloned();
         let group = self.state.groups.get(service);
         let known = member.as_ref().and_then(|name| group?.members.get(name));
         let (Some(overseer), Some(member)) = (&self.overseer, member) else {
@@ -199,14 +198,3 @@
         });
     }
 }
-
-fn member_of(order: &Order) -> Option<&Name> {
-    match order {
-        Order::Look(member)
-        | Order::Pause(member, _)
-        | Order::Resume(member)
-        | Order::StepDown(member, _)
-        | Order::Promote(member) => Some(member),
-        Order::Commit(_) => None,
-    }
-}
--- a/crates/hemlockcrank_host/src/engine/link.rs
+++ b/crates/hemlockcrank_host/src/engine/link.rs
@@ -11,11 +11,12 @@
 use hemlockcrank_core::{Name, session::Position};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpSocket, TcpStream},
+    net::TcpStream,
     time::timeout,
 };
 
 use super::dialect::{Code, Dialect, Greeting, MemberEvent, Own, Query, Shape, Status};
+use crate::dial::dial;
 
 /// Longest message of a member, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
@@ -89,9 +90,7 @@
     }
 
     async fn connect(dialect: Dialect, target: &Target, workspace: &Name) -> io::Result<Self> {
-        let socket = TcpSocket::new_v4()?;
-        socket.bind(SocketAddr::new(target.from, 0))?;
-        let mut stream = socket.connect(target.address).await?;
+        let mut stream = dial(target.from, target.address).await?;
         stream.set_nodelay(true)?;
         let mut hello = BytesMut::new();
         let greeting = Greeting {
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -14,20 +14,20 @@
 };
 
 use super::{
-    Code, Query, Shape, Site,
+    Code, Own, Query, Shape, Site,
     admission::{Operation, Refusal, Trail},
     board::Hold,
-    link::{Answer, Values},
+    link::{Answer, Link, Values},
     pool::{Loan, Pool, Unavailable, Wish},
 };
 use crate::{clock::now_ms, control::World};
 
 /// Distance kept from the stated age, in milliseconds.
 const AGE_MARGIN_MS: u64 = 30;
-/// Pause before all members are tried again.
-const ROUND_PAUSE: Duration = Duration::from_millis(15);
-/// Longest wait for a connection to one member, in milliseconds.
-const PLACE_LIMIT_MS: u64 = 150;
+/// Pause before a statement that did not run is tried again.
+pub(crate) const AGAIN: Duration = Duration::from_millis(15);
+/// Longest wait for a connection to one member.
+const PLACE_LIMIT: Duration = Duration::from_millis(150);
 /// Shortest silence after which a second member is asked, in milliseconds.
 const HEDGE_MS: u64 = 120;
 /// Latencies of a member after which a second one is asked.
@@ -60,6 +60,42 @@
     pub(crate) fn left(&self, now: u64) -> Duration {
         Duration::from_millis(self.deadline.saturating_sub(now))
     }
+
+    /// Longest wait for a connection to one member.
+    pub(crate) fn place_limit(&self) -> Duration {
+        self.left(now_ms()).min(PLACE_LIMIT)
+    }
+
+    pub(crate) fn query(&self, after: Option<Position>) -> Query {
+        Query {
+            id: self.id.clone(),
+            text: self.text.clone(),
+            after,
+        }
+    }
+
+    /// What a connection lacks for this statement.
+    pub(crate) fn setup(&self, link: &Link) -> Vec<Own> {
+        let shape = self.shape.as_ref().map(|(name, shape)| (name, shape));
+        link.setup(&self.values, shape)
+    }
+
+    /// Sets a connection up; one that cannot be is closed. Returns whether it may be used.
+    pub(crate) async fn prepare(&self, loan: &mut Loan) -> bool {
+        let Some(link) = loan.link() else {
+            return false;
+        };
+        let setup = self.setup(link);
+        if setup.is_empty() {
+            return true;
+        }
+        let done = timeout(self.left(now_ms()), link.run_own(&setup)).await;
+        let good = matches!(&done, Ok(Ok(Some(answer))) if answer.outcome.is_ok());
+        if !good {
+            loan.spoil();
+        }
+        good
+    }
 }
 
 /// How one attempt ended without a result.
@@ -180,7 +216,7 @@
                         return Err(refusal.after(trail));
                     }
                     tried.clear();
-                    sleep(ROUND_PAUSE).await;
+                    sleep(AGAIN).await;
                     continue;
                 }
             };
@@ -215,11 +251,8 @@
 
     async fn try_read(&self, work: &Work, choice: &Choice) -> Result<Answer, Miss> {
         let service = &work.operation.route.service;
-        let limit = work
-            .left(now_ms())
-            .min(Duration::from_millis(PLACE_LIMIT_MS));
         let _busy = choice.pool.busy();
-        let place = choice.pool.acquire(work.wish(), limit).await;
+        let place = choice.pool.acquire(work.wish(), work.place_limit()).await;
         let mut loan = match place {
             Ok(loan) => loan,
             Err(error) => {
@@ -228,13 +261,8 @@
             }
         };
         let term = choice.hold.as_ref().map(Hold::term);
-        let query = Query {
-            id: work.id.clone(),
-            text: work.text.clone(),
-            after: choice.after,
-        };
         let outcome = self
-            .exchange(&mut loan, work, &query, choice.hold.as_ref())
+            .exchange(&mut loan, work, choice.after, choice.hold.as_ref())
             .await;
         let now = now_ms();
         match outcome {
@@ -295,22 +323,11 @@
         &self,
         loan: &mut Loan,
         work: &Work,
-        query: &Query,
+        after: Option<Position>,
         hold: Option<&Hold>,
     ) -> Result<(u64, Answer), Miss> {
-        let left = work.left(now_ms());
-        let Some(link) = loan.link() else {
+        if !work.prepare(loan).await {
             return Err(Miss::NotRun("no connection"));
-        };
-        let shape = work.shape.as_ref().map(|(name, shape)| (name, shape));
-        let setup = link.setup(&work.values, shape);
-        if !setup.is_empty() {
-            let done = timeout(left, link.run_own(&setup)).await;
-            let good = matches!(&done, Ok(Ok(Some(answer))) if answer.outcome.is_ok());
-            if !good {
-                loan.spoil();
-                return Err(Miss::NotRun("no connection"));
-            }
         }
         if let Err(refusal) = work.operation.is_permitted(&self.world(), hold.is_some()) {
             return Err(Miss::Refused(refusal));
@@ -322,7 +339,7 @@
         let Some(link) = loan.link() else {
             return Err(Miss::NotRun("no connection"));
         };
-        match timeout(work.left(sent_at), link.run(query)).await {
+        match timeout(work.left(sent_at), link.run(&work.query(after))).await {
             Ok(Ok(answer)) => {
                 link.settle(answer.status);
                 Ok((sent_at, answer))
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -79,10 +79,7 @@
 
     /// Serves until either end leaves.
     pub(crate) async fn run(mut self, caller: SocketAddr) {
-        let end = match self.serve().await {
-            Ok(never) => never,
-            Err(end) => end,
-        };
+        let end = self.serve().await.unwrap_or_else(|end| end);
         if end == End::Malformed {
             let site = &self.site;
             site.timeline
--- a/crates/hemlockcrank_host/src/engine/site.rs
+++ b/crates/hemlockcrank_host/src/engine/site.rs
@@ -235,10 +235,6 @@
         .catalog
         .service(service)
         .map_or(1, |known| known.connections);
-    let hosts = state
-        .view
-        .iter()
-        .filter(|host| host.control.is_none())
-        .count();
+    let hosts = state.view.serving().count();
     (all as usize / hosts.max(1)).max(1)
 }
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -6,19 +6,15 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    Code, Own, Query, Site, Status,
+    Code, Own, Site, Status,
     admission::{Operation, Refusal},
     board::Hold,
     link::Answer,
     pool::{Busy, Loan},
-    read::{Choice, Work},
+    read::{AGAIN, Choice, Work},
 };
 use crate::clock::now_ms;
 
-/// Pause before a statement that did not run is tried again.
-const AGAIN: Duration = Duration::from_millis(15);
-/// Longest wait for a connection, in milliseconds.
-const PLACE_LIMIT_MS: u64 = 150;
 /// Longest wait for a member to drop a transaction.
 const ROLLBACK_LIMIT: Duration = Duration::from_millis(500);
 
@@ -152,11 +148,8 @@
     /// Begins at one member; `None` where nothing has run.
     async fn sit(&self, site: &Arc<Site>, work: &Work, choice: Choice) -> Option<Seat> {
         let service = &self.operation.route.service;
-        let limit = work
-            .left(now_ms())
-            .min(Duration::from_millis(PLACE_LIMIT_MS));
         let busy = choice.pool.busy();
-        let mut loan = match choice.pool.acquire(work.wish(), limit).await {
+        let mut loan = match choice.pool.acquire(work.wish(), work.place_limit()).await {
             Ok(loan) => loan,
             Err(error) => {
                 site.missed(&choice, service, error);
@@ -164,8 +157,7 @@
             }
         };
         let link = loan.link()?;
-        let shape = work.shape.as_ref().map(|(name, shape)| (name, shape));
-        let mut own = link.setup(&work.values, shape);
+        let mut own = work.setup(link);
         own.push(Own::Begin {
             read: self.read,
             after: choice.after,
@@ -217,32 +209,18 @@
             if !held {
                 return Err(Refusal::new(Code::Aborted, "the primary is being replaced"));
             }
-            let shape = work.shape.as_ref().map(|(name, shape)| (name, shape));
-            let Some(link) = seat.loan.link() else {
-                return Err(Refusal::new(Code::Aborted, "the member was lost"));
-            };
-            let setup = link.setup(&work.values, shape);
-            if !setup.is_empty() {
-                let done = timeout(work.left(now), link.run_own(&setup)).await;
-                let good = matches!(&done, Ok(Ok(Some(answer))) if answer.outcome.is_ok());
-                if !good {
-                    seat.loan.spoil();
-                    return Err(Refusal::new(
-                        Code::Aborted,
-                        "the session could not be set up",
-                    ));
-                }
+            if !work.prepare(&mut seat.loan).await {
+                return Err(Refusal::new(
+                    Code::Aborted,
+                    "the session could not be set up",
+                ));
             }
             self.operation
                 .is_permitted(&site.world(), seat.hold.is_some())?;
             let Some(link) = seat.loan.link() else {
                 return Err(Refusal::new(Code::Aborted, "the member was lost"));
             };
-            let query = Query {
-                id: work.id.clone(),
-                text: work.text.clone(),
-                after: None,
-            };
+            let query = work.query(None);
             let sent_at = now_ms();
             let Ok(Ok(answer)) = timeout(work.left(sent_at), link.run(&query)).await else {
                 seat.loan.spoil();
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -1,23 +1,18 @@
 //! Writes outside a transaction: at the primary, never twice.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use hemlockcrank_core::Name;
 use tokio::time::sleep;
 
 use super::{
-    Code, Query, Site,
+    Code, Site,
     admission::{Refusal, Trail},
     link::Answer,
-    read::{Choice, Miss, Work},
+    read::{AGAIN, Choice, Miss, Work},
 };
 use crate::{clock::now_ms, control::World};
 
-/// Longest wait for a connection, in milliseconds.
-const PLACE_LIMIT_MS: u64 = 150;
-/// Pause before a statement that did not run is tried again.
-const AGAIN: Duration = Duration::from_millis(15);
-
 impl Site {
     /// The primary of a service, with the right to use it.
     pub(crate) fn primary(&self, world: &World, service: &Name) -> Option<Choice> {
@@ -74,11 +69,8 @@
 
     async fn try_write(self: &Arc<Self>, work: &Work, choice: &Choice) -> Result<Answer, Miss> {
         let service = &work.operation.route.service;
-        let limit = work
-            .left(now_ms())
-            .min(Duration::from_millis(PLACE_LIMIT_MS));
         let _busy = choice.pool.busy();
-        let mut loan = match choice.pool.acquire(work.wish(), limit).await {
+        let mut loan = match choice.pool.acquire(work.wish(), work.place_limit()).await {
             Ok(loan) => loan,
             Err(error) => {
                 self.missed(choice, service, error);
@@ -88,12 +80,7 @@
         let Some(hold) = choice.hold.as_ref() else {
             return Err(Miss::NotRun("released"));
         };
-        let query = Query {
-            id: work.id.clone(),
-            text: work.text.clone(),
-            after: None,
-        };
-        let outcome = self.exchange(&mut loan, work, &query, Some(hold)).await;
+        let outcome = self.exchange(&mut loan, work, None, Some(hold)).await;
         let now = now_ms();
         let (sent_at, answer) = match outcome {
             Ok(done) => done,
--- a/crates/hemlockcrank_host/src/lib.rs
+++ b/crates/hemlockcrank_host/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod context;
 pub mod control;
 mod daemon;
+pub mod dial;
 pub mod engine;
 pub mod event;
 pub mod http;
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -11,7 +11,6 @@
 use hemlockcrank_core::{
     Name,
     allotment::{Division, MOST_HELD, Portion, PortionAsk, PortionGrant},
-    record::Rate,
 };
 use hemlockcrank_wire::{Request, Response};
 use tokio::time::sleep;
@@ -169,7 +168,7 @@
             let fresh = || Owned {
                 over_at: None,
                 index: world.state.index,
-                division: Division::new(now, serving_names(&world)),
+                division: Division::new(now, view.serving().map(|host| host.name.clone())),
             };
             let entry = owned.entry(ask.workspace.clone()).or_insert_with(fresh);
             debug_assert!(
@@ -201,24 +200,9 @@
             owned.over_at = Some(now_ms());
         }
     }
-
-    /// Parts of a workspace's rate that this host holds, for people who look.
-    pub fn held(&self, workspace: &str) -> Option<(u64, Rate)> {
-        let world = self.control.world();
-        let rate = world.state.catalog.rate(workspace)?;
-        let mut held = lock(&self.held);
-        let portion = held.get_mut(workspace)?;
-        Some((portion.ask(now_ms(), workspace.into()).held, rate))
-    }
 }
 
 /// Number of hosts that serve callers.
-pub(super) fn serving(world: &World) -> u64 {
-    serving_names(world).count() as u64
-}
-
-fn serving_names(world: &World) -> impl Iterator<Item = Name> {
-    let hosts = world.state.view.iter();
-    let serving = hosts.filter(|host| host.control.is_none());
-    serving.map(|host| host.name.clone())
+fn serving(world: &World) -> u64 {
+    world.state.view.serving().count() as u64
 }
--- a/crates/hemlockcrank_host/src/upstream/connection.rs
+++ b/crates/hemlockcrank_host/src/upstream/connection.rs
@@ -17,12 +17,10 @@
     terminate::Terminate,
 };
 use thiserror::Error;
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    time::timeout,
-};
+use tokio::time::timeout;
 
 use crate::{
+    dial::dial,
     pg::{Frame, PgError, Stream, tag},
     settings,
 };
@@ -136,7 +134,7 @@
         address: SocketAddr,
         database: &str,
     ) -> Result<Self, ConnectionError> {
-        let socket = connect(source.from, address).await.map_err(PgError::from)?;
+        let socket = dial(source.from, address).await.map_err(PgError::from)?;
         let mut stream = Stream::new(socket, source.message_bytes);
         let mut startup = Startup::new();
         startup.protocol_number_minor = 0;
@@ -267,26 +265,13 @@
     address: SocketAddr,
     key: (i32, SecretKey),
 ) -> Result<(), ConnectionError> {
-    let socket = connect(source.from, address).await.map_err(PgError::from)?;
+    let socket = dial(source.from, address).await.map_err(PgError::from)?;
     let mut stream = Stream::new(socket, source.message_bytes);
     stream.queue(&CancelRequest::new(key.0, key.1))?;
     stream.close().await;
     Ok(())
 }
 
-async fn connect(from: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = if address.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    if from.is_ipv4() == address.is_ipv4() && !from.is_unspecified() {
-        socket.bind(SocketAddr::new(from, 0))?;
-    }
-    socket.set_keepalive(true)?;
-    socket.connect(address).await
-}
-
 /// SQLSTATE and message of an ErrorResponse.
 pub(crate) fn error_fields(frame: &Frame) -> Result<(String, String), PgError> {
     let PgWireBackendMessage::ErrorResponse(error) = frame.backend()? else {
