Refusals of reads say how far a replica's log reached and how far it had to

Cause: 'lagging' in the trail did not tell a replica that is really behind from a floor that is too new. No change of behaviour.

--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -1,6 +1,6 @@
 //! Reads outside a transaction: which members, how often, and when a second one is asked as well.
 
-use std::{sync::Arc, time::Duration};
+use std::{borrow::Cow, sync::Arc, time::Duration};
 
 use hemlockcrank_core::{
     Name,
@@ -104,7 +104,7 @@
     /// It may not run any more, at any member.
     Refused(Refusal),
     /// It did not run at this member, and why.
-    NotRun(&'static str),
+    NotRun(Cow<'static, str>),
     /// It ran and failed.
     Failed(Answer),
     /// No answer came.
@@ -234,7 +234,7 @@
                     trail.add(&member, "failed");
                     failed = Some(answer);
                 }
-                Err(Miss::NotRun(why)) => trail.add(&member, why),
+                Err(Miss::NotRun(why)) => trail.add(&member, &why),
                 Err(Miss::Lost) => trail.add(&member, "lost"),
             }
         }
@@ -257,7 +257,7 @@
             Ok(loan) => loan,
             Err(error) => {
                 self.missed(choice, service, error);
-                return Err(Miss::NotRun(error.into()));
+                return Err(Miss::NotRun(<&str>::from(error).into()));
             }
         };
         let term = choice.hold.as_ref().map(Hold::term);
@@ -277,7 +277,12 @@
                 }
                 match &answer.outcome {
                     Ok(_) => Ok(answer),
-                    Err((code, _)) if code.is_not_run() => Err(Miss::NotRun((*code).into())),
+                    Err((Code::Lagging, _)) => {
+                        Err(Miss::NotRun(lagging(answer.position, choice.after).into()))
+                    }
+                    Err((code, _)) if code.is_not_run() => {
+                        Err(Miss::NotRun(<&str>::from(*code).into()))
+                    }
                     Err(_) => Err(Miss::Failed(answer)),
                 }
             }
@@ -327,17 +332,17 @@
         hold: Option<&Hold>,
     ) -> Result<(u64, Answer), Miss> {
         if !work.prepare(loan).await {
-            return Err(Miss::NotRun("no connection"));
+            return Err(Miss::NotRun("no connection".into()));
         }
         if let Err(refusal) = work.operation.is_permitted(&self.world(), hold.is_some()) {
             return Err(Miss::Refused(refusal));
         }
         if hold.is_some_and(|hold| !hold.is_current()) {
-            return Err(Miss::NotRun("no connection"));
+            return Err(Miss::NotRun("no connection".into()));
         }
         let sent_at = now_ms();
         let Some(link) = loan.link() else {
-            return Err(Miss::NotRun("no connection"));
+            return Err(Miss::NotRun("no connection".into()));
         };
         match timeout(work.left(sent_at), link.run(&work.query(after))).await {
             Ok(Ok(answer)) => {
@@ -351,3 +356,12 @@
         }
     }
 }
+
+/// How far a member's log reaches, and how far it had to.
+fn lagging(reached: Option<Position>, wanted: Option<Position>) -> String {
+    let show = |position: Option<Position>| match position {
+        Some(Position { term, index }) => format!("{term}.{index}"),
+        None => "-".to_owned(),
+    };
+    format!("lagging:{}<{}", show(reached), show(wanted))
+}
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -56,7 +56,7 @@
                     return Err(refusal.after(trail));
                 }
                 Err(Miss::NotRun(why)) => {
-                    trail.add(&choice.name, why);
+                    trail.add(&choice.name, &why);
                     if now_ms() >= work.operation.patience() {
                         let refusal = Refusal::new(Code::Busy, "the primary has no place");
                         return Err(refusal.after(trail));
@@ -74,11 +74,11 @@
             Ok(loan) => loan,
             Err(error) => {
                 self.missed(choice, service, error);
-                return Err(Miss::NotRun(error.into()));
+                return Err(Miss::NotRun(<&str>::from(error).into()));
             }
         };
         let Some(hold) = choice.hold.as_ref() else {
-            return Err(Miss::NotRun("released"));
+            return Err(Miss::NotRun("released".into()));
         };
         let outcome = self.exchange(&mut loan, work, None, Some(hold)).await;
         let now = now_ms();
@@ -104,7 +104,7 @@
                 }
                 Ok(answer)
             }
-            Err((code, _)) if code.is_not_run() => Err(Miss::NotRun((*code).into())),
+            Err((code, _)) if code.is_not_run() => Err(Miss::NotRun(<&str>::from(*code).into())),
             Err(_) => Err(Miss::Failed(answer)),
         }
     }
