Tokens of a rate that is used up are reserved in the order in which hosts ask

Each token that came in went to whoever asked first, which was who stood nearest. A rate of nothing divided by zero in the owner; it reserves nothing now. Tests: core allotment::turns; the exploration walks reservations.

--- a/crates/hemlockcrank_core/src/allotment/bucket.rs
+++ b/crates/hemlockcrank_core/src/allotment/bucket.rs
@@ -8,7 +8,9 @@
 use crate::record::Rate;
 
 /// Fractions of a token that are counted.
-const MILLI: u64 = 1_000;
+const MILLI: i64 = 1_000;
+/// Longest time ahead for which a token is reserved, in milliseconds; leaves time to spend it.
+const MAX_RESERVED_MS: u64 = LOAN_MS / 2;
 
 /// Tokens lent to one host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -33,6 +35,14 @@
 pub enum Answer {
     /// Tokens to spend within [`LOAN_MS`] of asking.
     Granted(Loan),
+    /// One token that comes in later, in the order in which hosts asked: it may be spent from then on,
+    /// within [`LOAN_MS`] of asking.
+    Reserved {
+        /// The token.
+        loan: Loan,
+        /// Time until it may be spent, counted from the answer, in milliseconds.
+        wait_ms: u64,
+    },
     /// The workspace is at its rate.
     Empty {
         /// Time until a token may be there, in milliseconds.
@@ -45,8 +55,8 @@
 /// What an old owner tells the new one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Handover {
-    /// Thousandths of tokens not lent.
-    pub available_milli: u64,
+    /// Thousandths of tokens not lent; negative while tokens are reserved that have not come in.
+    pub available_milli: i64,
     /// Tokens lent and not settled.
     pub outstanding: u64,
     /// For how long nothing can have been lent, in milliseconds, where there was no bucket.
@@ -63,7 +73,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Bucket {
     rate: Rate,
-    available_milli: u64,
+    available_milli: i64,
     refilled_at: u64,
     opens_at: u64,
     next_loan: u64,
@@ -74,7 +84,7 @@
     /// A full bucket, for a rate that has had no other owner.
     pub fn full(rate: Rate, now: u64) -> Self {
         let mut bucket = Self::empty(rate, now, now);
-        bucket.available_milli = rate.burst * MILLI;
+        bucket.available_milli = milli(rate.burst);
         bucket
     }
 
@@ -102,9 +112,9 @@
         let outstanding = handover.outstanding.min(rate.burst);
         bucket.available_milli = handover
             .available_milli
-            .min((rate.burst - outstanding) * MILLI);
+            .min(milli(rate.burst - outstanding));
         if outstanding > 0 {
-            bucket.lend(now, outstanding);
+            bucket.owe(now, outstanding);
         }
         bucket.check();
         bucket
@@ -130,8 +140,15 @@
         }
     }
 
-    /// Settles old loans and lends up to `want` tokens.
-    pub fn borrow(&mut self, now: u64, want: u64, settled: &[Settlement]) -> Answer {
+    /// Settles old loans and lends up to `want` tokens. Where there is none, one that comes in within
+    /// `patience_ms` is reserved, so that hosts far away and hosts nearby are served in turn.
+    pub fn borrow(
+        &mut self,
+        now: u64,
+        want: u64,
+        patience_ms: u64,
+        settled: &[Settlement],
+    ) -> Answer {
         if now < self.opens_at {
             return Answer::Closed;
         }
@@ -139,17 +156,23 @@
         for settlement in settled {
             self.settle(*settlement);
         }
-        let amount = want.min(self.available_milli / MILLI);
+        let amount = want.min(self.available());
         self.check();
-        if amount == 0 {
+        if amount > 0 {
+            let loan = self.lend(now, amount);
+            self.check();
+            return Answer::Granted(loan);
+        }
+        let wait_ms = self.next_token_ms();
+        let patience_ms = patience_ms.min(MAX_RESERVED_MS);
+        if want == 0 || wait_ms > patience_ms || self.outstanding() >= self.rate.burst {
             return Answer::Empty {
-                retry_after_ms: self.next_token_ms(),
+                retry_after_ms: wait_ms,
             };
         }
-        self.available_milli -= amount * MILLI;
-        let id = self.lend(now, amount);
+        let loan = self.lend(now, 1);
         self.check();
-        Answer::Granted(Loan { id, amount })
+        Answer::Reserved { loan, wait_ms }
     }
 
     /// Tokens lent and neither settled nor ended.
@@ -164,10 +187,17 @@
 
     /// Whole tokens that could be lent.
     pub fn available(&self) -> u64 {
-        self.available_milli / MILLI
+        u64::try_from(self.available_milli / MILLI).unwrap_or(0)
+    }
+
+    fn lend(&mut self, now: u64, amount: u64) -> Loan {
+        self.available_milli -= milli(amount);
+        let id = self.owe(now, amount);
+        Loan { id, amount }
     }
 
-    fn lend(&mut self, now: u64, amount: u64) -> u64 {
+    /// Counts tokens as out until a loan made now has surely ended.
+    fn owe(&mut self, now: u64, amount: u64) -> u64 {
         let id = self.next_loan;
         self.next_loan += 1;
         let ends_at = now + LOAN_MS + LOAN_MARGIN_MS;
@@ -178,7 +208,7 @@
     fn settle(&mut self, settlement: Settlement) {
         if let Some(debt) = self.debts.remove(&settlement.id) {
             let unspent = settlement.unspent.min(debt.amount);
-            self.available_milli += unspent * MILLI;
+            self.available_milli += milli(unspent);
             self.available_milli = self.available_milli.min(self.room_milli());
         }
     }
@@ -188,26 +218,33 @@
         let elapsed = now.saturating_sub(self.refilled_at);
         let gained = elapsed.saturating_mul(self.rate.per_second);
         self.refilled_at = self.refilled_at.max(now);
+        let gained = i64::try_from(gained).unwrap_or(i64::MAX);
         let filled = self.available_milli.saturating_add(gained);
         self.available_milli = filled.min(self.room_milli());
     }
 
-    fn room_milli(&self) -> u64 {
-        self.rate.burst.saturating_sub(self.outstanding()) * MILLI
+    fn room_milli(&self) -> i64 {
+        milli(self.rate.burst.saturating_sub(self.outstanding()))
     }
 
+    /// Time until a token that nobody has reserved comes in.
     fn next_token_ms(&self) -> u64 {
-        let missing = MILLI - self.available_milli % MILLI;
-        missing.div_ceil(self.rate.per_second).max(1)
+        let missing = u64::try_from(MILLI - self.available_milli).unwrap_or(0);
+        missing.div_ceil(self.rate.per_second.max(1)).max(1)
     }
 
     fn check(&self) {
-        let held = self.available_milli + self.outstanding() * MILLI;
-        let burst = self.rate.burst * MILLI;
-        let lowered = self.available_milli == 0;
+        let held = self.available_milli + milli(self.outstanding());
+        let burst = milli(self.rate.burst);
+        let lowered = self.available_milli <= 0;
         assert!(
             held <= burst || lowered,
             "{held} thousandths of tokens are out or available, burst is {burst}"
         );
     }
 }
+
+/// Thousandths of tokens.
+fn milli(tokens: u64) -> i64 {
+    i64::try_from(tokens).map_or(i64::MAX, |tokens| tokens.saturating_mul(MILLI))
+}
--- a/crates/hemlockcrank_core/src/allotment/purse.rs
+++ b/crates/hemlockcrank_core/src/allotment/purse.rs
@@ -33,6 +33,8 @@
 struct Held {
     id: u64,
     left: u64,
+    /// Nothing of it may be spent before.
+    ready_at: u64,
     ends_at: u64,
 }
 
@@ -51,13 +53,15 @@
     /// Spends one token if one is here.
     pub fn take(&mut self, now: u64) -> Take {
         self.drop_ended(now);
-        let Some(held) = self.held.front_mut() else {
+        let ready = self.held.iter().position(|held| held.ready_at <= now);
+        let Some(index) = ready else {
             return Take::Lacking;
         };
+        let held = &mut self.held[index];
         held.left -= 1;
         if held.left == 0 {
             let id = held.id;
-            self.held.pop_front();
+            self.held.remove(index);
             self.done.push(Settlement { id, unspent: 0 });
         }
         self.count_use(now);
@@ -80,16 +84,20 @@
         })
     }
 
-    /// Takes the owner's answer; `None` stands for no answer.
-    pub fn answer(&mut self, asked_at: u64, answer: Option<Answer>) {
+    /// Takes the owner's answer at `now`; `None` stands for no answer.
+    pub fn answer(&mut self, now: u64, asked_at: u64, answer: Option<Answer>) {
         self.asking = false;
-        if let Some(Answer::Granted(loan)) = answer {
-            self.held.push_back(Held {
-                id: loan.id,
-                left: loan.amount,
-                ends_at: asked_at + LOAN_MS,
-            });
-        }
+        let (loan, wait_ms) = match answer {
+            Some(Answer::Granted(loan)) => (loan, 0),
+            Some(Answer::Reserved { loan, wait_ms }) => (loan, wait_ms),
+            Some(Answer::Empty { .. } | Answer::Closed) | None => return,
+        };
+        self.held.push_back(Held {
+            id: loan.id,
+            left: loan.amount,
+            ready_at: now + wait_ms,
+            ends_at: asked_at + LOAN_MS,
+        });
     }
 
     /// Gives back what was not used, where it would otherwise end unused; `None` when nothing is held.
--- a/crates/hemlockcrank_core/tests/allotment/fleet.rs
+++ b/crates/hemlockcrank_core/tests/allotment/fleet.rs
@@ -5,6 +5,9 @@
     record::Rate,
 };
 
+/// Longest wait for a token that has not come in, in milliseconds.
+const PATIENCE_MS: u64 = 200;
+
 /// A question or an answer on its way.
 #[derive(Clone, Debug)]
 pub(crate) enum Mail {
@@ -72,7 +75,7 @@
             Step::Lose(choice) => self.lose(choice),
             Step::GiveBack(host) => {
                 if let Some(settled) = self.purses[host].give_back(self.now) {
-                    self.bucket.borrow(self.now, 0, &settled);
+                    self.bucket.borrow(self.now, 0, 0, &settled);
                 }
             }
             Step::HandOver => {
@@ -93,11 +96,14 @@
         }
         match self.mail.remove(choice % self.mail.len()) {
             Mail::Ask(host, ask) => {
-                let answer = self.bucket.borrow(self.now, ask.want, &ask.settled);
+                let answer = self
+                    .bucket
+                    .borrow(self.now, ask.want, PATIENCE_MS, &ask.settled);
                 self.mail.push(Mail::Answer(host, ask.asked_at, answer));
             }
             Mail::Answer(host, asked_at, answer) => {
-                self.purses[host].answer(asked_at, Some(answer));
+                let heard_at = self.now - self.behind_ms;
+                self.purses[host].answer(heard_at, asked_at, Some(answer));
             }
         }
     }
@@ -108,7 +114,7 @@
         }
         let (Mail::Ask(host, Ask { asked_at, .. }) | Mail::Answer(host, asked_at, _)) =
             self.mail.remove(choice % self.mail.len());
-        self.purses[host].answer(asked_at, None);
+        self.purses[host].answer(self.now, asked_at, None);
     }
 
     /// No window admits more than the burst and the rate over its length.
--- a/crates/hemlockcrank_core/tests/allotment/main.rs
+++ b/crates/hemlockcrank_core/tests/allotment/main.rs
@@ -9,3 +9,4 @@
 mod fleet;
 mod portions;
 mod random;
+mod turns;
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -293,8 +293,13 @@
         Request::Borrow {
             workspace,
             want,
+            patience_ms,
             settled,
-        } => Response::Allotment(context.limits.lend(&workspace, want, &settled).await),
+        } => {
+            let limits = &context.limits;
+            let answer = limits.lend(&workspace, want, patience_ms, &settled);
+            Response::Allotment(answer.await)
+        }
         Request::Portions { host, index, asks } => {
             Response::Portions(context.portions.answer(&host, index, &asks).await)
         }
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -9,6 +9,9 @@
 
 /// Part of the latency objective after which an operation that cannot run is refused.
 const PATIENCE_PART: u64 = 4;
+/// Longest wait for a token of the rate, in milliseconds. It is the same for all routes: those that may
+/// wait longer would otherwise take every token.
+const TOKEN_PATIENCE_MS: u64 = 50;
 /// Name that stands for callers of open routes.
 const NOBODY: &str = "-";
 
@@ -68,7 +71,7 @@
 }
 
 impl Operation {
-    /// Time after which nothing waits for a primary, a place or a token any more.
+    /// Time after which nothing waits for a primary or a place any more.
     pub(crate) fn patience(&self) -> u64 {
         self.arrived + (self.route.objective_ms / PATIENCE_PART).max(1)
     }
@@ -131,9 +134,8 @@
         if self.portions.take(&operation.workspace) {
             return Ok(());
         }
-        let admitted = self
-            .limits
-            .admit(&operation.workspace, operation.patience());
+        let patience = operation.arrived + TOKEN_PATIENCE_MS;
+        let admitted = self.limits.admit(&operation.workspace, patience);
         admitted.await.map_err(|refusal| match refusal {
             limits::Refusal::OverRate => Refusal::new(Code::TooMany, "over the rate"),
             limits::Refusal::OwnerUnreachable => Refusal::new(Code::Busy, "rate unknown"),
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -39,8 +39,6 @@
 const CLOSED_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for an owner's answer.
 const BORROW_LIMIT: Duration = Duration::from_millis(300);
-/// Longest wait for a token that the owner expects soon, in milliseconds.
-const EMPTY_PATIENCE_MS: u64 = 250;
 /// Interval at which unused tokens are looked for.
 const SWEEP: Duration = Duration::from_millis(100);
 /// The same while no tokens are held. Shorter than a loan less a sweep, so none ends unseen.
@@ -140,7 +138,7 @@
             };
             if now >= deadline {
                 if ask.is_some() {
-                    lock(&borrower.purse).answer(now, None);
+                    lock(&borrower.purse).answer(now, now, None);
                 }
                 return Err(refusal);
             }
@@ -150,19 +148,19 @@
                 let _ = tokio::time::timeout(left, answered).await;
                 continue;
             };
-            let answer = self.borrow(workspace, ask.want, ask.settled).await;
-            lock(&borrower.purse).answer(ask.asked_at, answer);
+            let patience_ms = deadline - now;
+            let answer = self
+                .borrow(workspace, ask.want, patience_ms, ask.settled)
+                .await;
+            lock(&borrower.purse).answer(now_ms(), ask.asked_at, answer);
             borrower.answered.notify_waiters();
             match answer {
                 Some(Answer::Granted(_)) => {}
-                Some(Answer::Empty { retry_after_ms }) => {
+                Some(Answer::Reserved { wait_ms, .. }) => {
                     refusal = Refusal::OverRate;
-                    let worth_waiting = retry_after_ms <= EMPTY_PATIENCE_MS;
-                    if !worth_waiting || now + retry_after_ms > deadline {
-                        return Err(refusal);
-                    }
-                    tokio::time::sleep(Duration::from_millis(retry_after_ms)).await;
+                    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
                 }
+                Some(Answer::Empty { .. }) => return Err(Refusal::OverRate),
                 Some(Answer::Closed) | None => tokio::time::sleep(CLOSED_PAUSE).await,
             }
         }
@@ -173,17 +171,19 @@
         self: &Arc<Self>,
         workspace: &Name,
         want: u64,
+        patience_ms: u64,
         settled: Vec<Settlement>,
     ) -> Option<Answer> {
         let world = self.control.world();
         let owner = world.state.view.serving_owner(workspace)?.clone();
         if owner == self.control.host().name {
-            return Some(self.lend(workspace, want, &settled).await);
+            return Some(self.lend(workspace, want, patience_ms, &settled).await);
         }
         let address = self.peers.address_of(&owner, &world.state.view)?;
         let request = Request::Borrow {
             workspace: workspace.clone(),
             want,
+            patience_ms,
             settled,
         };
         match self.peers.call(address, &request, BORROW_LIMIT).await {
@@ -208,6 +208,7 @@
         self: &Arc<Self>,
         workspace: &Name,
         want: u64,
+        patience_ms: u64,
         settled: &[Settlement],
     ) -> Answer {
         let world = self.control.world();
@@ -227,8 +228,9 @@
         };
         let now = now_ms();
         bucket.set_rate(now, rate);
-        let answer = bucket.borrow(now, want, settled);
-        if matches!(answer, Answer::Empty { .. }) && want > 0 {
+        let answer = bucket.borrow(now, want, patience_ms, settled);
+        let short = matches!(answer, Answer::Empty { .. } | Answer::Reserved { .. });
+        if short && want > 0 {
             self.portions.note_over(workspace);
         }
         answer
@@ -347,7 +349,7 @@
             drop(purse);
             let limits = Arc::clone(self);
             tokio::spawn(async move {
-                limits.borrow(&workspace, 0, settled).await;
+                limits.borrow(&workspace, 0, 0, settled).await;
             });
         }
         holds
--- a/crates/hemlockcrank_standin/examples/measure/fairness.rs
+++ b/crates/hemlockcrank_standin/examples/measure/fairness.rs
@@ -258,16 +258,16 @@
 
 /// Takes one token for good.
 fn spend(bucket: &mut Bucket, now: u64) -> bool {
-    match bucket.borrow(now, 1, &[]) {
+    match bucket.borrow(now, 1, 0, &[]) {
         Answer::Granted(loan) => {
             let spent = hemlockcrank_core::allotment::Settlement {
                 id: loan.id,
                 unspent: 0,
             };
-            bucket.borrow(now, 0, &[spent]);
+            bucket.borrow(now, 0, 0, &[spent]);
             true
         }
-        Answer::Empty { .. } | Answer::Closed => false,
+        Answer::Reserved { .. } | Answer::Empty { .. } | Answer::Closed => false,
     }
 }
 
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -43,6 +43,8 @@
         workspace: Name,
         /// Tokens wanted.
         want: u64,
+        /// Longest wait for one where there are none, in milliseconds.
+        patience_ms: u64,
         /// Loans that are done.
         settled: Vec<Settlement>,
     },
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -25,7 +25,7 @@
 pub use server::{Incoming, serve};
 
 /// Version of the protocol between our processes.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Largest body of a call, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
