Places at a busy member change hands less often

Change: the time for which openings queue at the member (usual less shortest) times 12 is the distance between two places that change hands; at an idle member nothing changes.

--- a/crates/hemlockcrank_core/src/places.rs
+++ b/crates/hemlockcrank_core/src/places.rs
@@ -7,7 +7,9 @@
 //!
 //! Connections are opened few at a time, and by nobody in particular: whoever wanted one waits in the
 //! queue, and one that is opened after its session has given up serves the next. Otherwise a member that
-//! is slow to open would spend its slots on connections that nobody waits for any more.
+//! is slow to open would spend its slots on connections that nobody waits for any more. For the same
+//! reason places change hands only so often that opening takes a small part of the time: where many
+//! workspaces press on few places, those that have one are served and the others wait or are refused.
 //!
 //! ```
 //! use hemlockcrank_core::places::{Places, Release, Take};
@@ -33,6 +35,16 @@
 const USE: u64 = 16;
 /// Use of another workspace, relative to the taker's own, up to which its place is taken, in percent.
 const TAKE_PERCENT: u64 = 150;
+/// Time between two places that change hands, as a multiple of the time for which openings queue.
+const REPLACE_QUEUES: u64 = 12;
+/// Places that may change hands at once after a quiet time.
+const REPLACE_BURST: u64 = 3;
+/// Longest time to open a connection that is counted, in milliseconds.
+const MAX_OPEN_MS: u64 = 100;
+/// Weight of the newest opening in the moving average, as one part in this many.
+const SMOOTHING: u64 = 8;
+/// Part of the distance by which the shortest time to open rises towards the usual one at each opening.
+const FORGETTING: u64 = 64;
 
 /// A connection of the pool.
 pub type Link = u64;
@@ -72,6 +84,13 @@
     free: bool,
 }
 
+/// A connection that is being opened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Opening {
+    workspace: Name,
+    since: u64,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Use {
     weight: u64,
@@ -83,8 +102,11 @@
 pub struct Places {
     capacity: usize,
     crowded_until: u64,
-    /// Workspaces that a connection is being opened for.
-    opening: Vec<Name>,
+    opening: Vec<Opening>,
+    /// Usual and shortest time to open a connection, in microseconds.
+    open_us: Option<(u64, u64)>,
+    /// Time at which all places that have changed hands are paid for.
+    replaced_until: u64,
     held: BTreeMap<Link, Held>,
     next_link: Link,
     waiting: BTreeMap<Ticket, Name>,
@@ -146,14 +168,17 @@
             }
             return Take::Reuse(link);
         }
-        if self.opening.len() >= MAX_OPENING || self.opening.contains(workspace) {
+        if self.opening.len() >= MAX_OPENING || self.is_opening(workspace) {
             return Take::Wait;
         }
         if self.has_room(now) {
             self.count(now, workspace);
-            self.opening.push(workspace.clone());
+            self.begin_opening(now, workspace.clone());
             return Take::Open;
         }
+        if !self.may_replace(now) {
+            return Take::Wait;
+        }
         let own = self.held.values().any(|held| held.workspace == *workspace);
         if own && !insist {
             return Take::Wait;
@@ -161,8 +186,7 @@
         match self.least_used(now, workspace, insist) {
             Some(link) => {
                 self.count(now, workspace);
-                self.held.remove(&link);
-                self.opening.push(workspace.clone());
+                self.replace(now, link, workspace.clone());
                 Take::Replace(link)
             }
             None => Take::Wait,
@@ -187,7 +211,9 @@
 
     /// A connection was opened. It counts as in use until it is released, to whoever waits.
     pub fn opened(&mut self, now: u64, workspace: Name) -> Link {
-        self.end_opening(&workspace);
+        if let Some(since) = self.end_opening(&workspace) {
+            self.note_open(now.saturating_sub(since));
+        }
         let link = self.next_link;
         self.next_link += 1;
         let held = Held {
@@ -245,10 +271,9 @@
             self.count(now, &workspace);
             return Release::Give(ticket);
         }
-        match self.next_wanted() {
+        match self.next_wanted().filter(|_| self.may_replace(now)) {
             Some(wanted) => {
-                self.held.remove(&link);
-                self.opening.push(wanted.clone());
+                self.replace(now, link, wanted.clone());
                 Release::Replace(wanted)
             }
             None => {
@@ -274,15 +299,60 @@
         self.held.len() + self.opening.len() < self.capacity && now >= self.crowded_until
     }
 
-    fn end_opening(&mut self, workspace: &Name) {
-        if let Some(index) = self.opening.iter().position(|opening| opening == workspace) {
-            self.opening.swap_remove(index);
-        }
+    fn is_opening(&self, workspace: &Name) -> bool {
+        let mut opening = self.opening.iter();
+        opening.any(|opening| opening.workspace == *workspace)
+    }
+
+    fn begin_opening(&mut self, now: u64, workspace: Name) {
+        self.opening.push(Opening {
+            workspace,
+            since: now,
+        });
+    }
+
+    /// Returns when the opening began.
+    fn end_opening(&mut self, workspace: &Name) -> Option<u64> {
+        let mut opening = self.opening.iter();
+        let index = opening.position(|opening| opening.workspace == *workspace)?;
+        Some(self.opening.swap_remove(index).since)
+    }
+
+    fn note_open(&mut self, took_ms: u64) {
+        let took_us = took_ms.min(MAX_OPEN_MS) * 1_000;
+        self.open_us = Some(match self.open_us {
+            Some((usual_us, shortest_us)) => {
+                let usual_us = (usual_us * (SMOOTHING - 1) + took_us) / SMOOTHING;
+                let rising_us = shortest_us + usual_us.saturating_sub(shortest_us) / FORGETTING;
+                (usual_us, rising_us.min(took_us))
+            }
+            None => (took_us, took_us),
+        });
+    }
+
+    /// Time that one place that changes hands stands for, in milliseconds.
+    fn replace_interval_ms(&self) -> u64 {
+        let queued_us = self.open_us.map_or(0, |(usual_us, shortest_us)| {
+            usual_us.saturating_sub(shortest_us)
+        });
+        queued_us * REPLACE_QUEUES / 1_000
+    }
+
+    /// Whether a place may change hands now.
+    fn may_replace(&self, now: u64) -> bool {
+        self.replaced_until <= now + (REPLACE_BURST - 1) * self.replace_interval_ms()
+    }
+
+    /// Gives a connection's place to a workspace.
+    fn replace(&mut self, now: u64, link: Link, workspace: Name) {
+        self.held.remove(&link);
+        self.replaced_until = self.replaced_until.max(now) + self.replace_interval_ms();
+        self.begin_opening(now, workspace);
     }
 
     fn open_next(&mut self, now: u64) -> Option<Name> {
         let wanted = self.next_wanted().filter(|_| self.has_room(now))?;
-        self.opening.push(wanted.clone());
+        self.begin_opening(now, wanted.clone());
         Some(wanted)
     }
 
@@ -293,7 +363,7 @@
         }
         let mut waiting = self.waiting.values();
         waiting
-            .find(|workspace| !self.opening.contains(workspace))
+            .find(|workspace| !self.is_opening(workspace))
             .cloned()
     }
 
--- a/crates/hemlockcrank_core/tests/places.rs
+++ b/crates/hemlockcrank_core/tests/places.rs
@@ -189,3 +189,63 @@
         "{opened} of {served} opened one"
     );
 }
+
+/// Sessions of many workspaces press on two places; returns how often a place changed hands in the third
+/// second. An opening takes 12 ms and `queue_ms` more.
+fn count_changes(queue_ms: u64) -> u64 {
+    let names: Vec<Name> = (0..8).map(|number| format!("w{number}").into()).collect();
+    let mut places = Places::new(2);
+    for name in &names[..2] {
+        assert_eq!(places.take(0, name, 0, false), Take::Open);
+        let link = places.opened(12, name.clone());
+        places.release(12, link);
+    }
+    let mut changes = 0;
+    let mut busy: Vec<(u64, Link)> = Vec::new();
+    let mut opening: Vec<(u64, Name)> = Vec::new();
+    for now in 100..3_000 {
+        let counted = now >= 2_000;
+        let (done, rest) = busy.into_iter().partition(|(until, _)| *until <= now);
+        busy = rest;
+        let (opened, rest) = opening.into_iter().partition(|(until, _)| *until <= now);
+        opening = rest;
+        let mut free: Vec<Link> = done.iter().map(|(_, link): &(u64, Link)| *link).collect();
+        let opened: Vec<(u64, Name)> = opened;
+        free.extend(opened.into_iter().map(|(_, name)| places.opened(now, name)));
+        for link in free {
+            match places.release(now, link) {
+                Release::Keep => {}
+                Release::Give(_) => busy.push((now + 10, link)),
+                Release::Replace(name) => {
+                    changes += u64::from(counted);
+                    opening.push((now + 12 + queue_ms, name));
+                }
+            }
+        }
+        if now % 10 != 0 {
+            continue;
+        }
+        let name = &names[(now / 10 % 8) as usize];
+        match places.take(now, name, 0, false) {
+            Take::Reuse(link) => busy.push((now + 10, link)),
+            Take::Open => opening.push((now + 12 + queue_ms, name.clone())),
+            Take::Replace(_) => {
+                changes += u64::from(counted);
+                opening.push((now + 12 + queue_ms, name.clone()));
+            }
+            Take::Wait => {
+                places.wait(name.clone(), 0);
+            }
+        }
+    }
+    changes
+}
+
+#[test]
+fn places_of_a_busy_member_change_hands_seldom() {
+    let idle = count_changes(0);
+    let busy = count_changes(30);
+
+    assert!(idle >= 30, "{idle} changes at an idle member");
+    assert!(busy <= 6, "{busy} changes at a busy member");
+}
