A member's connections are divided between the hosts by use

Without a leader's word the division is even, as before. What hosts that left had said is forgotten.

--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`failover`]: changes of primary.
 //! - [`catalog`], [`group`], [`succession`], [`floor`]: sites whose configuration comes whole and whose
 //!   databases replicate by themselves.
-//! - [`allotment`], [`queue`]: fair shares.
+//! - [`allotment`], [`queue`], [`places`], [`share`]: fair shares.
 //! - [`statement`]: what a statement does, read from its text.
 //!
 //! ```
@@ -43,6 +43,7 @@
 pub mod retry;
 pub mod route;
 pub mod session;
+pub mod share;
 pub mod sight;
 pub mod state;
 pub mod statement;
--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -128,6 +128,11 @@
         self.iter().filter(|host| host.control.is_none())
     }
 
+    /// Whether a host is in view and serves callers.
+    pub fn serves(&self, name: &str) -> bool {
+        self.get(name).is_some_and(|host| host.control.is_none())
+    }
+
     /// The one serving host that owns `key`: hosts that serve a platform's control are left out.
     pub fn serving_owner(&self, key: &str) -> Option<&Name> {
         let key = hash(key);
--- a/crates/hemlockcrank_core/src/sight.rs
+++ b/crates/hemlockcrank_core/src/sight.rs
@@ -34,6 +34,8 @@
     pub acknowledged: Position,
     /// Change for which the host has let go of the old primary.
     pub released: Option<u64>,
+    /// Operations that came lately.
+    pub uses: u64,
     /// Newest sample, by the leader's clock, with the leadership that the clock belongs to.
     pub sample: Option<(u64, Sample)>,
 }
@@ -62,6 +64,22 @@
         }
     }
 
+    /// Forgets what hosts have said that are not in view any more; what they acknowledged stays.
+    pub fn keep<F>(&mut self, in_view: F)
+    where
+        F: Fn(&Name) -> bool,
+    {
+        for hosts in self.noted.values_mut() {
+            hosts.retain(|host, _| in_view(host));
+        }
+    }
+
+    /// Operations that came lately at each host that has spoken of the service.
+    pub fn uses(&self, service: &str) -> impl Iterator<Item = (Name, u64)> {
+        let hosts = self.noted.get(service).into_iter().flatten();
+        hosts.map(|(host, noted)| (host.clone(), noted.sight.uses))
+    }
+
     /// Takes a host's sights.
     pub fn note(&mut self, now: u64, host: &Name, sights: Vec<Sight>) {
         for sight in sights {
--- a/crates/hemlockcrank_core/tests/site.rs
+++ b/crates/hemlockcrank_core/tests/site.rs
@@ -314,6 +314,7 @@
 
 fn sight(failing_ms: Option<u64>, served_ms: Option<u64>) -> Sight {
     Sight {
+        uses: 0,
         service: "s".into(),
         term: 1,
         failing_ms,
--- a/crates/hemlockcrank_host/src/control/actor/oversee.rs
+++ b/crates/hemlockcrank_host/src/control/actor/oversee.rs
@@ -110,12 +110,13 @@
         self.oversee(now)
     }
 
-    /// Clock and samples that go with an answer to a follower.
-    pub(super) fn bearings(&self) -> Bearings {
+    /// Clock, samples and shares that go with an answer to a follower.
+    pub(super) fn bearings(&mut self, host: &Name) -> Bearings {
         let now = now_ms();
-        let Some(steward) = &self.steward else {
+        let Some(steward) = &mut self.steward else {
             return Bearings::default();
         };
+        steward.divide(now, &self.state);
         let heights = steward
             .sightings
             .newest()
@@ -129,6 +130,7 @@
             leadership: steward.leadership,
             clock_ms: now,
             heights: heights.collect(),
+            shares: steward.shares_of(host),
         }
     }
 
--- a/crates/hemlockcrank_host/src/control/actor/serve.rs
+++ b/crates/hemlockcrank_host/src/control/actor/serve.rs
@@ -65,7 +65,7 @@
             if self.duties.is_none() || (now >= held.until && !(leads && listed)) {
                 reply(held.port, Response::News(self.redirect()));
             } else if leads && listed && due {
-                let news = self.updates_after(held.follow.applied);
+                let news = self.updates_after(&held.follow.host.name, held.follow.applied);
                 reply(held.port, Response::News(news));
             } else {
                 self.held.push(held);
@@ -73,10 +73,10 @@
         }
     }
 
-    pub(super) fn updates_after(&self, applied: u64) -> News {
+    pub(super) fn updates_after(&mut self, host: &Name, applied: u64) -> News {
         let remaining_ms = lease::TERM_MS;
         let index = self.state.index;
-        let bearings = self.bearings();
+        let bearings = self.bearings(host);
         let reaches_back = self
             .recent
             .front()
--- a/crates/hemlockcrank_host/src/control/steward.rs
+++ b/crates/hemlockcrank_host/src/control/steward.rs
@@ -17,7 +17,9 @@
     Name,
     group::Group,
     membership::View,
+    share::Shares,
     sight::Sightings,
+    state::State,
     succession::{Order, Promoted, Said, Settled, Succession},
 };
 
@@ -26,6 +28,9 @@
 /// Time after a change of view in which hosts' word on commits is not complete, in milliseconds.
 const VIEW_CALM_MS: u64 = 10_000;
 
+/// Interval at which connections are divided between hosts, in milliseconds.
+const DIVIDE_MS: u64 = 1_000;
+
 /// A boxed answer in the making.
 type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 /// Asks a member for itself.
@@ -90,6 +95,8 @@
     view: Arc<View>,
     view_at: u64,
     successions: BTreeMap<Name, Succession>,
+    shares: BTreeMap<Name, Shares>,
+    divided_at: u64,
 }
 
 impl Steward {
@@ -102,6 +109,8 @@
             view: Arc::default(),
             view_at: 0,
             successions: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            divided_at: 0,
         }
     }
 
@@ -110,7 +119,38 @@
         if !Arc::ptr_eq(&self.view, view) {
             self.view = Arc::clone(view);
             self.view_at = now;
+            self.sightings.keep(|host| view.get(host).is_some());
+        }
+    }
+
+    /// Divides the members' connections between the hosts, once all of them have spoken of a service.
+    pub(crate) fn divide(&mut self, now: u64, state: &State) {
+        if now < self.divided_at + DIVIDE_MS {
+            return;
         }
+        self.divided_at = now;
+        let hosts = state.view.serving().count();
+        for (service, _) in state.groups.iter() {
+            let Some(known) = state.catalog.service(service) else {
+                continue;
+            };
+            let uses: Vec<(Name, u64)> = self
+                .sightings
+                .uses(service)
+                .filter(|(host, _)| state.view.serves(host))
+                .collect();
+            if hosts > 0 && uses.len() == hosts {
+                let shares = self.shares.entry(service.clone()).or_default();
+                shares.update(known.connections, uses);
+            }
+        }
+    }
+
+    /// A host's connections at each member of a service, by service.
+    pub(crate) fn shares_of(&self, host: &str) -> Vec<(Name, u32)> {
+        let shares = self.shares.iter();
+        let of = |(service, shares): (&Name, &Shares)| Some((service.clone(), shares.of(host)?));
+        shares.filter_map(of).collect()
     }
 
     /// How far the hosts have let go of a primary. A host that left or restarted lately may have
--- a/crates/hemlockcrank_host/src/engine/board.rs
+++ b/crates/hemlockcrank_host/src/engine/board.rs
@@ -20,6 +20,11 @@
 
 use crate::sync::lock;
 
+/// Time after which half of the operations that came is forgotten, in milliseconds.
+const HALF_LIFE_MS: u64 = 3_000;
+/// Weight of one operation.
+const USE: u64 = 16;
+
 #[derive(Debug, Default)]
 struct Seen {
     term: u64,
@@ -29,6 +34,11 @@
     served_at: Option<u64>,
     acknowledged: Position,
     holds: usize,
+    /// Operations that came, halved again and again.
+    uses: u64,
+    halved_at: u64,
+    /// Connections that this host may have at each member.
+    share: Option<u32>,
     /// Change whose beginning this host has in force.
     change: Option<u64>,
     released: Option<u64>,
@@ -36,6 +46,18 @@
     epoch: u64,
 }
 
+impl Seen {
+    fn halve(&mut self, now: u64) {
+        while self.uses > 0 && now >= self.halved_at + HALF_LIFE_MS {
+            self.uses /= 2;
+            self.halved_at += HALF_LIFE_MS;
+        }
+        if self.uses == 0 {
+            self.halved_at = now;
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     anchor: Option<Anchor>,
@@ -136,6 +158,20 @@
         true
     }
 
+    /// Counts an operation that came for a service.
+    pub(crate) fn count(&self, now: u64, service: &Name) {
+        let mut inner = lock(&self.inner);
+        if let Some(seen) = inner.services.get_mut(service) {
+            seen.halve(now);
+            seen.uses += USE;
+        }
+    }
+
+    /// Connections that this host may have at each member of a service, if the leader has said so.
+    pub(crate) fn share(&self, service: &str) -> Option<u32> {
+        lock(&self.inner).services.get(service)?.share
+    }
+
     /// Notes an answer of the primary of `term` to a statement sent at `sent_at`.
     pub(crate) fn served(
         &self,
@@ -196,16 +232,18 @@
 
     /// What to tell the leader.
     pub(crate) fn sights(&self, now: u64) -> Vec<Sight> {
-        let inner = lock(&self.inner);
+        let mut inner = lock(&self.inner);
         let anchor = inner.anchor;
-        let services = inner.services.iter();
+        let services = inner.services.iter_mut();
         let sights = services.map(|(service, seen)| {
             let sample = anchor.zip(seen.own).and_then(|(anchor, own)| {
                 let at = anchor.to_leader(own.at)?;
                 let position = own.position;
                 Some((anchor.leadership, Sample { at, position }))
             });
+            seen.halve(now);
             Sight {
+                uses: seen.uses,
                 service: service.clone(),
                 term: seen.term,
                 failing_ms: seen.failing_since.map(|since| now.saturating_sub(since)),
@@ -226,6 +264,10 @@
             leader_ms: bearings.clock_ms,
             received_ms: now,
         });
+        for (service, share) in &bearings.shares {
+            let seen = inner.services.entry(service.clone()).or_default();
+            seen.share = Some(*share);
+        }
         for height in &bearings.heights {
             let Some(at) = from_leader(asked_at, height.age_ms) else {
                 continue;
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -315,6 +315,8 @@
     async fn admit(&self) -> Result<Operation, Refusal> {
         let operation = self.site.identify(&self.database, self.key.as_ref())?;
         self.site.admit(&operation).await?;
+        let service = &operation.route.service;
+        self.site.board.count(operation.arrived, service);
         Ok(operation)
     }
 
--- a/crates/hemlockcrank_host/src/engine/site.rs
+++ b/crates/hemlockcrank_host/src/engine/site.rs
@@ -123,7 +123,7 @@
             service: service.clone(),
             member: name.clone(),
         };
-        let pool = Pool::new(self.dialect, target, capacity(state, service));
+        let pool = Pool::new(self.dialect, target, self.capacity(state, service));
         pools.insert(name.clone(), Arc::clone(&pool));
         pool
     }
@@ -192,7 +192,7 @@
         pools.retain(|name, pool| {
             let known = state.groups.find(name).is_some();
             if known {
-                pool.set_capacity(capacity(state, &pool.target.service));
+                pool.set_capacity(self.capacity(state, &pool.target.service));
             } else {
                 pool.close_idle();
             }
@@ -200,6 +200,17 @@
         });
     }
 
+    /// This host's part of the connections that a member accepts: even until the leader has divided them.
+    fn capacity(&self, state: &State, service: &Name) -> usize {
+        let even = || {
+            let all = state.catalog.service(service);
+            let all = all.map_or(1, |known| known.connections) as usize;
+            all / state.view.serving().count().max(1)
+        };
+        let share = self.board.share(service);
+        share.map_or_else(even, |share| share as usize).max(1)
+    }
+
     /// Releases primaries that are being replaced; those done stay noted until the change is over.
     fn release(&self, pending: &mut HashMap<Name, Pending>) {
         let now = now_ms();
@@ -228,13 +239,3 @@
         }
     }
 }
-
-/// This host's part of the connections that a member accepts.
-fn capacity(state: &State, service: &Name) -> usize {
-    let all = state
-        .catalog
-        .service(service)
-        .map_or(1, |known| known.connections);
-    let hosts = state.view.serving().count();
-    (all as usize / hosts.max(1)).max(1)
-}
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -114,6 +114,8 @@
     pub clock_ms: u64,
     /// Positions by service.
     pub heights: Vec<Height>,
+    /// Connections by service that the asker may have at each member.
+    pub shares: Vec<(Name, u32)>,
 }
 
 /// A position that no acknowledged commit was past, at a time.
