Small rates are lent as a whole where there are many hosts

Change: a rate whose half gives less than an operation to each of more than 12 hosts is not divided and not asked for; its owner lends it whole. Small sites are not touched by it.

--- a/crates/hemlockcrank_core/src/allotment/portion.rs
+++ b/crates/hemlockcrank_core/src/allotment/portion.rs
@@ -44,6 +44,12 @@
     }
 }
 
+/// Whether portions of a rate are of use to so many hosts. Where each would get less than an operation, the
+/// owner lends the whole rate.
+pub fn is_held(rate: Rate, hosts: u64) -> bool {
+    hosts <= FEW_HOSTS || rate.burst * MOST_HELD / WHOLE >= hosts
+}
+
 /// A host's question about one rate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PortionAsk {
--- a/crates/hemlockcrank_core/tests/allotment/portions.rs
+++ b/crates/hemlockcrank_core/tests/allotment/portions.rs
@@ -4,7 +4,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Division, MOST_HELD, PORTION_MS, Portion, PortionAsk, WHOLE},
+    allotment::{Division, MOST_HELD, PORTION_MS, Portion, PortionAsk, WHOLE, is_held},
     record::Rate,
 };
 use rand_chacha::{
@@ -183,3 +183,15 @@
         }
     }
 }
+
+#[test]
+fn a_rate_too_small_for_many_hosts_is_lent_as_a_whole() {
+    let small = Rate {
+        per_second: 20,
+        burst: 20,
+    };
+
+    assert!(is_held(small, 6), "few hosts hold one operation each");
+    assert!(!is_held(small, 55));
+    assert!(is_held(RATE, 25));
+}
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -198,7 +198,7 @@
     /// Rate that the owner lends: all of it, where it comes from a record.
     fn lent_rate(&self, world: &World, workspace: &str) -> Option<Rate> {
         match world.state.catalog.rate(workspace) {
-            Some(rate) => Some(lent(rate, self.portions.in_use(workspace))),
+            Some(rate) => Some(lent(rate, self.portions.in_use(world, workspace, rate))),
             None => world.state.records.rate(workspace),
         }
     }
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -10,7 +10,8 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Division, MOST_HELD, Portion, PortionAsk, PortionGrant},
+    allotment::{Division, MOST_HELD, Portion, PortionAsk, PortionGrant, is_held},
+    record::Rate,
 };
 use hemlockcrank_wire::{Request, Response};
 use tokio::time::sleep;
@@ -74,6 +75,9 @@
         };
         let hosts = serving(&world);
         let mut held = lock(&self.held);
+        if !is_held(rate, hosts) && !held.contains_key(workspace) {
+            return false;
+        }
         let portion = held.entry(workspace.clone()).or_default();
         portion.take(now_ms(), rate, hosts)
     }
@@ -86,10 +90,14 @@
             let now = now_ms();
             {
                 let mut held = lock(&self.held);
-                held.retain(|workspace, portion| {
-                    !portion.is_idle(now) || world.state.catalog.rate(workspace).is_some()
-                });
-                for workspace in world.state.catalog.limited() {
+                let hosts = serving(&world);
+                let is_asked = |workspace: &Name| {
+                    let rate = world.state.catalog.rate(workspace);
+                    rate.is_some_and(|rate| is_held(rate, hosts))
+                };
+                held.retain(|workspace, portion| !portion.is_idle(now) || is_asked(workspace));
+                let limited = world.state.catalog.limited();
+                for workspace in limited.filter(|workspace| is_asked(workspace)) {
                     let Some(owner) = world.state.view.serving_owner(workspace) else {
                         continue;
                     };
@@ -187,11 +195,13 @@
     }
 
     /// Parts of an owned rate that hosts may be using in portions.
-    pub(super) fn in_use(&self, workspace: &str) -> u64 {
+    pub(super) fn in_use(&self, world: &World, workspace: &str, rate: Rate) -> u64 {
         let owned = lock(&self.owned);
-        owned
-            .get(workspace)
-            .map_or(MOST_HELD, |owned| owned.division.in_use(now_ms()))
+        match owned.get(workspace) {
+            Some(owned) => owned.division.in_use(now_ms()),
+            None if is_held(rate, serving(world)) => MOST_HELD,
+            None => 0,
+        }
     }
 
     /// Notes that an owned rate was found empty.
