--- a/crates/hemlockcrank/tests/processes.rs
+++ b/crates/hemlockcrank/tests/processes.rs
@@ -1,8 +1,10 @@
 //! The daemons as separate processes with settings files.
 
+#[path = "shared/process.rs"]
+mod process;
+
 use std::{
-    path::Path,
-    process::{Child, Command, Stdio},
+    process::Command,
     time::{Duration, Instant},
 };
 
@@ -12,59 +14,12 @@
     Group, GroupSettings, OPERATOR_TOKEN, PLATFORM_TOKEN, SiteSettings, fresh_folder, host_settings,
 };
 use hemlockctl::Client;
+use process::Process;
 use tokio_postgres::NoTls;
 
 const WAIT: Duration = Duration::from_secs(30);
 const LOOK: Duration = Duration::from_millis(50);
 
-/// A daemon's process, ended with the test.
-struct Process(Child);
-
-impl Process {
-    fn start(settings: &Settings, folder: &Path) -> Self {
-        std::fs::create_dir_all(folder).expect("folder");
-        let file = folder.join(format!("{}.json", settings.host));
-        let text = serde_json::to_string_pretty(settings).expect("settings as JSON");
-        std::fs::write(&file, text).expect("settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_hemlockcrank"))
-            .arg("--settings")
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("daemon");
-        Self(child)
-    }
-
-    fn kill(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.0.id().to_string();
-        let sent = Command::new("kill").args([signal, &id]).status();
-        assert!(sent.expect("kill").success());
-    }
-
-    async fn ended(&mut self) -> Option<i32> {
-        let started = Instant::now();
-        while started.elapsed() < WAIT {
-            if let Some(status) = self.0.try_wait().expect("status") {
-                return status.code();
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-        None
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 struct Site {
     settings: Vec<Settings>,
     processes: Vec<Process>,
@@ -85,7 +40,10 @@
     let settings = host_settings(&site, &folder).expect("settings");
     let processes = settings
         .iter()
-        .map(|s| Process::start(s, &folder))
+        .map(|s| {
+            let text = serde_json::to_string_pretty(s).expect("settings as JSON");
+            Process::start(&s.host, &text, &folder)
+        })
         .collect();
     let mut group = Group::start(GroupSettings::new("ledger", "ledger-1"))
         .await
