--- a/crates/hemlockcrank_core/src/places.rs
+++ b/crates/hemlockcrank_core/src/places.rs
@@ -35,10 +35,12 @@
 const USE: u64 = 16;
 /// Use of another workspace, relative to the taker's own, up to which its place is taken, in percent.
 const TAKE_PERCENT: u64 = 150;
-/// Time between two places that change hands, as a multiple of the time for which openings queue.
-const REPLACE_QUEUES: u64 = 12;
-/// Places that may change hands at once after a quiet time.
-const REPLACE_BURST: u64 = 3;
+/// Time between two openings, as a multiple of the time for which openings queue.
+const OPEN_QUEUES: u64 = 12;
+/// Openings that may follow each other after a quiet time.
+const OPEN_BURST: u64 = 3;
+/// Longest time to open a connection that is taken for one without a queue, in milliseconds.
+const MAX_SHORTEST_MS: u64 = 30;
 /// Longest time to open a connection that is counted, in milliseconds.
 const MAX_OPEN_MS: u64 = 100;
 /// Weight of the newest opening in the moving average, as one part in this many.
@@ -105,8 +107,8 @@
     opening: Vec<Opening>,
     /// Usual and shortest time to open a connection, in microseconds.
     open_us: Option<(u64, u64)>,
-    /// Time at which all places that have changed hands are paid for.
-    replaced_until: u64,
+    /// Time up to which openings are paid for.
+    paid_until: u64,
     held: BTreeMap<Link, Held>,
     next_link: Link,
     waiting: BTreeMap<Ticket, Name>,
@@ -171,14 +173,14 @@
         if self.opening.len() >= MAX_OPENING || self.is_opening(workspace) {
             return Take::Wait;
         }
+        if !self.may_open(now) {
+            return Take::Wait;
+        }
         if self.has_room(now) {
             self.count(now, workspace);
             self.begin_opening(now, workspace.clone());
             return Take::Open;
         }
-        if !self.may_replace(now) {
-            return Take::Wait;
-        }
         let own = self.held.values().any(|held| held.workspace == *workspace);
         if own && !insist {
             return Take::Wait;
@@ -271,7 +273,7 @@
             self.count(now, &workspace);
             return Release::Give(ticket);
         }
-        match self.next_wanted().filter(|_| self.may_replace(now)) {
+        match self.next_wanted().filter(|_| self.may_open(now)) {
             Some(wanted) => {
                 self.replace(now, link, wanted.clone());
                 Release::Replace(wanted)
@@ -305,6 +307,7 @@
     }
 
     fn begin_opening(&mut self, now: u64, workspace: Name) {
+        self.paid_until = self.paid_until.max(now) + self.open_interval_ms();
         self.opening.push(Opening {
             workspace,
             since: now,
@@ -326,32 +329,32 @@
                 let rising_us = shortest_us + usual_us.saturating_sub(shortest_us) / FORGETTING;
                 (usual_us, rising_us.min(took_us))
             }
-            None => (took_us, took_us),
+            None => (took_us, took_us.min(MAX_SHORTEST_MS * 1_000)),
         });
     }
 
-    /// Time that one place that changes hands stands for, in milliseconds.
-    fn replace_interval_ms(&self) -> u64 {
+    /// Time that one opening stands for, in milliseconds.
+    fn open_interval_ms(&self) -> u64 {
         let queued_us = self.open_us.map_or(0, |(usual_us, shortest_us)| {
             usual_us.saturating_sub(shortest_us)
         });
-        queued_us * REPLACE_QUEUES / 1_000
+        queued_us * OPEN_QUEUES / 1_000
     }
 
-    /// Whether a place may change hands now.
-    fn may_replace(&self, now: u64) -> bool {
-        self.replaced_until <= now + (REPLACE_BURST - 1) * self.replace_interval_ms()
+    /// Whether a connection may be opened now.
+    fn may_open(&self, now: u64) -> bool {
+        self.held.is_empty() || self.paid_until <= now + (OPEN_BURST - 1) * self.open_interval_ms()
     }
 
     /// Gives a connection's place to a workspace.
     fn replace(&mut self, now: u64, link: Link, workspace: Name) {
         self.held.remove(&link);
-        self.replaced_until = self.replaced_until.max(now) + self.replace_interval_ms();
         self.begin_opening(now, workspace);
     }
 
     fn open_next(&mut self, now: u64) -> Option<Name> {
-        let wanted = self.next_wanted().filter(|_| self.has_room(now))?;
+        let may_open = self.has_room(now) && self.may_open(now);
+        let wanted = self.next_wanted().filter(|_| may_open)?;
         self.begin_opening(now, wanted.clone());
         Some(wanted)
     }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -6,6 +6,7 @@
     Name,
     balance::{Candidate, choose},
     catalog::Freshness,
+    retry::Backoff,
     session::Position,
 };
 use tokio::{
@@ -24,7 +25,7 @@
 
 /// Distance kept from the stated age, in milliseconds.
 const AGE_MARGIN_MS: u64 = 30;
-/// Pause before a statement that did not run is tried again.
+/// Pause before the primary of a group that has none now is looked for again.
 pub(crate) const AGAIN: Duration = Duration::from_millis(15);
 /// Longest wait for a connection to one member.
 const PLACE_LIMIT: Duration = Duration::from_millis(150);
@@ -187,6 +188,7 @@
         let mut running = JoinSet::new();
         let mut attempts = 0;
         let mut failed = None;
+        let mut backoff = Backoff::default();
         loop {
             let now = now_ms();
             if now >= work.deadline {
@@ -216,7 +218,7 @@
                         return Err(refusal.after(trail));
                     }
                     tried.clear();
-                    sleep(AGAIN).await;
+                    sleep(Duration::from_millis(backoff.pause_ms())).await;
                     continue;
                 }
             };
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hemlockcrank_core::{catalog::Freshness, session::Position};
+use hemlockcrank_core::{catalog::Freshness, retry::Backoff, session::Position};
 use tokio::time::{sleep, timeout};
 
 use super::{
@@ -11,7 +11,7 @@
     board::Hold,
     link::Answer,
     pool::{Busy, Loan},
-    read::{AGAIN, Choice, Work},
+    read::{Choice, Work},
 };
 use crate::clock::now_ms;
 
@@ -113,6 +113,7 @@
 
     async fn begin(&mut self, site: &Arc<Site>, work: &Work) -> Result<Seat, Refusal> {
         let mut tried = Vec::new();
+        let mut backoff = Backoff::default();
         let patience = now_ms() + self.operation.patience() - self.operation.arrived;
         loop {
             let now = now_ms();
@@ -141,7 +142,7 @@
                     "no member can open the transaction",
                 ));
             }
-            sleep(AGAIN).await;
+            sleep(Duration::from_millis(backoff.pause_ms())).await;
         }
     }
 
@@ -197,6 +198,7 @@
         let Some(seat) = &mut self.seat else {
             return Err(Refusal::new(Code::Aborted, "the transaction has ended"));
         };
+        let mut backoff = Backoff::default();
         loop {
             let now = now_ms();
             if now >= work.deadline {
@@ -243,7 +245,7 @@
             }
             let busy = matches!(&answer.outcome, Err((Code::Busy, _)));
             if busy && answer.status == Status::Open {
-                sleep(AGAIN).await;
+                sleep(Duration::from_millis(backoff.pause_ms())).await;
                 continue;
             }
             return Ok(answer);
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -1,8 +1,8 @@
 //! Writes outside a transaction: at the primary, never twice.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use hemlockcrank_core::Name;
+use hemlockcrank_core::{Name, retry::Backoff};
 use tokio::time::sleep;
 
 use super::{
@@ -35,6 +35,7 @@
     pub(crate) async fn write(self: &Arc<Self>, work: &Work) -> Result<Answer, Refusal> {
         let service = &work.operation.route.service;
         let mut trail = Trail::default();
+        let mut backoff = Backoff::default();
         loop {
             let now = now_ms();
             let world = self.world();
@@ -61,7 +62,7 @@
                         let refusal = Refusal::new(Code::Busy, "the primary has no place");
                         return Err(refusal.after(trail));
                     }
-                    sleep(AGAIN).await;
+                    sleep(Duration::from_millis(backoff.pause_ms())).await;
                 }
             }
         }
--- a/crates/hemlockcrank_host/src/journal.rs
+++ b/crates/hemlockcrank_host/src/journal.rs
@@ -182,34 +182,58 @@
     Ok(())
 }
 
-/// Reads all whole records; returns the state and the length of the part that is whole.
+/// A record's body at `offset` with the offset of its end.
+enum Found<'a> {
+    Whole(&'a [u8], usize),
+    /// The bytes there are no record.
+    Broken,
+    /// The bytes end before the record does.
+    Short,
+}
+
+fn record_at(bytes: &[u8], offset: usize) -> Found<'_> {
+    let Some(head) = bytes.get(offset..offset + HEAD_BYTES) else {
+        return Found::Short;
+    };
+    let (length, sums) = head.split_at(4);
+    if crc32fast::hash(length).to_le_bytes() != sums[..4] {
+        return Found::Broken;
+    }
+    let length = u32::from_le_bytes([length[0], length[1], length[2], length[3]]);
+    let start = offset + HEAD_BYTES;
+    let end = start + usize::try_from(length).unwrap_or(usize::MAX - start);
+    match bytes.get(start..end) {
+        None => Found::Short,
+        Some(body) if crc32fast::hash(body).to_le_bytes() == sums[4..] => Found::Whole(body, end),
+        Some(_) => Found::Broken,
+    }
+}
+
+/// Whether the last record was written whole and only its length has been damaged since.
+fn is_whole_but_for_its_length(record: &[u8]) -> bool {
+    let sum = record.get(HEAD_BYTES - 4..HEAD_BYTES);
+    let body = record.get(HEAD_BYTES..).filter(|body| !body.is_empty());
+    sum.zip(body)
+        .is_some_and(|(sum, body)| crc32fast::hash(body).to_le_bytes() == sum)
+}
+
+/// Reads all whole records; returns the state and the length of the part that is whole. What was being
+/// written when the host lost power may be there in any shape; a whole record after it cannot be.
 fn replay(path: &Path, bytes: &[u8]) -> Result<(Option<Saved>, usize), JournalError> {
     let mut saved: Option<Saved> = None;
     let mut offset = 0;
-    let damaged = |offset| JournalError::Damaged {
-        path: path.to_owned(),
-        offset,
-    };
-    while let Some(head) = bytes.get(offset..offset + HEAD_BYTES) {
-        let (length, sums) = head.split_at(4);
-        if crc32fast::hash(length).to_le_bytes() != sums[..4] {
-            return Err(damaged(offset));
-        }
-        let length = u32::from_le_bytes([length[0], length[1], length[2], length[3]]);
-        let start = offset + HEAD_BYTES;
-        let end = start + usize::try_from(length).unwrap_or(usize::MAX - start);
-        let Some(body) = bytes.get(start..end) else {
-            break;
-        };
-        if crc32fast::hash(body).to_le_bytes() != sums[4..] {
-            if end == bytes.len() {
-                break;
-            }
-            return Err(damaged(offset));
-        }
+    while let Found::Whole(body, end) = record_at(bytes, offset) {
         let change: Persist = decode(body)?;
         saved.get_or_insert_default().apply(change);
         offset = end;
     }
+    let whole_after = (offset + 1..bytes.len())
+        .any(|later| matches!(record_at(bytes, later), Found::Whole(body, _) if !body.is_empty()));
+    if whole_after || is_whole_but_for_its_length(&bytes[offset..]) {
+        return Err(JournalError::Damaged {
+            path: path.to_owned(),
+            offset,
+        });
+    }
     Ok((saved, offset))
 }
--- a/crates/hemlockcrank_host/tests/surfaces.rs
+++ b/crates/hemlockcrank_host/tests/surfaces.rs
@@ -184,6 +184,30 @@
     let _ = std::fs::remove_dir_all(&folder);
 }
 
+/// Found by the soak (seed 28): a host whose journal ended in a piece of a record that was not whole
+/// refused to start.
+#[test]
+fn a_torn_end_of_any_content_is_cut_off() {
+    let (folder, file) = with_journal();
+    let whole = std::fs::read(&file).expect("bytes");
+    for length in 1..80_u8 {
+        let contents: [Vec<u8>; 3] = [
+            vec![0; length.into()],
+            vec![0xff; length.into()],
+            (0..length).map(|n| n.wrapping_mul(37) ^ length).collect(),
+        ];
+        for torn in contents {
+            std::fs::write(&file, [&whole[..], &torn].concat()).expect("write");
+
+            let opened = Journal::open(&folder, 99);
+
+            assert!(opened.is_ok(), "{torn:?}");
+            assert_eq!(std::fs::read(&file).expect("bytes"), whole);
+        }
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
 /// One record of an example deployment.
 #[derive(serde::Deserialize)]
 struct Example {
