--- a/crates/hemlockcrank_host/src/journal.rs
+++ b/crates/hemlockcrank_host/src/journal.rs
@@ -229,7 +229,8 @@
     }
     let whole_after = (offset + 1..bytes.len())
         .any(|later| matches!(record_at(bytes, later), Found::Whole(body, _) if !body.is_empty()));
-    if whole_after || is_whole_but_for_its_length(&bytes[offset..]) {
+    let head_broken = matches!(record_at(bytes, offset), Found::Broken);
+    if whole_after || (head_broken && is_whole_but_for_its_length(&bytes[offset..])) {
         return Err(JournalError::Damaged {
             path: path.to_owned(),
             offset,
