--- a/crates/hemlockcrank_core/src/places.rs
+++ b/crates/hemlockcrank_core/src/places.rs
@@ -25,8 +25,10 @@
 
 use crate::Name;
 
-/// Most sessions that may wait.
-const MAX_WAITING: usize = 512;
+/// Sessions that may wait for each connection: one further back would be served too late to be of use.
+const WAITING_EACH: usize = 4;
+/// Sessions that may wait however few the connections are.
+const MIN_WAITING: usize = 8;
 /// Connections that are opened at once.
 const MAX_OPENING: usize = 2;
 /// Time after which half of a workspace's use is forgotten, in milliseconds.
@@ -197,7 +199,8 @@
 
     /// Puts a session into the queue; `None` when that is full.
     pub fn wait(&mut self, workspace: Name, rank: u32) -> Option<Ticket> {
-        if self.waiting.len() >= MAX_WAITING {
+        let most = (self.capacity * WAITING_EACH).max(MIN_WAITING);
+        if self.waiting.len() >= most {
             return None;
         }
         let ticket = (rank, self.next_ticket);
