--- a/crates/hemlockcrank_core/src/allotment.rs
+++ b/crates/hemlockcrank_core/src/allotment.rs
@@ -19,7 +19,7 @@
 
 pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
 pub use portion::{
-    Division, MOST_HELD, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE, is_held, lent,
+    Division, PORTION_MS, Portion, PortionAsk, PortionGrant, WHOLE, is_held, lent, most_held,
 };
 pub use purse::{Ask, Purse, Take};
 
--- a/crates/hemlockcrank_core/src/allotment/portion.rs
+++ b/crates/hemlockcrank_core/src/allotment/portion.rs
@@ -26,8 +26,12 @@
 const MARGIN_MS: u64 = 100;
 /// Part of the whole that is divided evenly, so that no host starts with nothing.
 const EVEN: u64 = WHOLE / 12;
-/// Most of the whole that is held in portions; the owner lends the rest on demand.
-pub const MOST_HELD: u64 = WHOLE / 2;
+/// Least of the whole that may be held in portions; the owner lends the rest on demand.
+const LEAST_HELD: u64 = WHOLE / 2;
+/// Part of the whole that the owner of a large rate keeps to lend.
+const LEAST_LENT: u64 = WHOLE / 5;
+/// Operations of the burst that the owner keeps to lend, where that is more.
+const LENT_BURST: u64 = 16;
 /// Thousandths of operations in an operation.
 const MILLI: u64 = 1_000;
 /// Most hosts for which each may hold one operation, however small its portion.
@@ -44,10 +48,17 @@
     }
 }
 
+/// Most of a rate that may be held in portions: half of a small one, more of a large one, which then goes on
+/// better without its owner.
+pub fn most_held(rate: Rate) -> u64 {
+    let lent = WHOLE * LENT_BURST / rate.burst.max(1);
+    WHOLE - lent.clamp(LEAST_LENT, WHOLE - LEAST_HELD)
+}
+
 /// Whether portions of a rate are of use to so many hosts. Where each would get less than an operation, the
 /// owner lends the whole rate.
 pub fn is_held(rate: Rate, hosts: u64) -> bool {
-    hosts <= FEW_HOSTS || rate.burst * MOST_HELD / WHOLE >= hosts
+    hosts <= FEW_HOSTS || rate.burst * most_held(rate) / WHOLE >= hosts
 }
 
 /// A host's question about one rate.
@@ -106,9 +117,9 @@
         self.unheard.retain(in_view);
     }
 
-    /// Answers a host among `hosts` serving ones: the parts that it may use from now on. Of a rate that is
-    /// `over` its limit nothing is held, so that no part lies where it is not wanted.
-    pub fn ask(&mut self, now: u64, host: &Name, ask: &PortionAsk, hosts: u64, over: bool) -> u64 {
+    /// Answers a host among `hosts` serving ones: the parts that it may use from now on, where all may use
+    /// `most`. Of a rate that is over its limit nothing is held, so that no part lies where it is not wanted.
+    pub fn ask(&mut self, now: u64, host: &Name, ask: &PortionAsk, hosts: u64, most: u64) -> u64 {
         self.holdings.retain(|_, holding| holding.ends_at > now);
         self.unheard.remove(host);
         let entry = Holding {
@@ -119,25 +130,20 @@
         self.holdings.insert(host.clone(), entry);
         let others = self.holdings.iter().filter(|(name, _)| *name != host);
         let used: u64 = others.map(|(_, holding)| holding.parts).sum();
-        let free = MOST_HELD.saturating_sub(used);
+        let free = most.saturating_sub(used);
         let known = self.unheard.is_empty() || now >= self.opens_at;
-        let most = if known { free } else { free.min(ask.held) };
-        let target = if over {
-            0
-        } else {
-            self.target(ask.demand, hosts)
-        };
-        let granted = target.min(most);
+        let room = if known { free } else { free.min(ask.held) };
+        let granted = self.target(ask.demand, hosts, most).min(room);
         if let Some(entry) = self.holdings.get_mut(host) {
             entry.parts = granted.max(ask.held);
         }
         granted
     }
 
-    /// Parts that hosts may be using.
-    pub fn in_use(&self, now: u64) -> u64 {
+    /// Parts that hosts may be using; an earlier owner may have granted `most`.
+    pub fn in_use(&self, now: u64, most: u64) -> u64 {
         if !self.unheard.is_empty() && now < self.opens_at {
-            return MOST_HELD;
+            return most;
         }
         let live = self
             .holdings
@@ -146,13 +152,13 @@
         live.map(|holding| holding.parts).sum()
     }
 
-    fn target(&self, demand: u64, hosts: u64) -> u64 {
+    fn target(&self, demand: u64, hosts: u64, most: u64) -> u64 {
         let hosts = hosts.max(1);
         let total: u64 = self.holdings.values().map(|holding| holding.demand).sum();
         if total == 0 {
-            return MOST_HELD / hosts;
+            return most / hosts;
         }
-        EVEN / hosts + (MOST_HELD - EVEN) * demand / total
+        EVEN.min(most) / hosts + most.saturating_sub(EVEN) * demand / total
     }
 }
 
--- a/crates/hemlockcrank_core/tests/allotment/portions.rs
+++ b/crates/hemlockcrank_core/tests/allotment/portions.rs
@@ -4,7 +4,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Division, MOST_HELD, PORTION_MS, Portion, PortionAsk, WHOLE, is_held},
+    allotment::{Division, PORTION_MS, Portion, PortionAsk, WHOLE, is_held, most_held},
     record::Rate,
 };
 use rand_chacha::{
@@ -16,6 +16,8 @@
     per_second: 100,
     burst: 50,
 };
+/// Parts that may be held together.
+const HALF: u64 = WHOLE / 2;
 const HOSTS: [&str; 4] = ["h1", "h2", "h3", "h4"];
 
 fn names() -> Vec<Name> {
@@ -34,7 +36,7 @@
 fn open_division() -> Division {
     let mut division = Division::new(0, names());
     for name in names() {
-        division.ask(0, &name, &ask(0, 0), 4, false);
+        division.ask(0, &name, &ask(0, 0), 4, HALF);
     }
     division
 }
@@ -47,13 +49,13 @@
     for now in 1..40 {
         for (name, demand) in names().iter().zip([90, 10, 0, 0]) {
             let before = held.get(name).copied().unwrap_or(0);
-            let parts = division.ask(now * 100, name, &ask(before, demand), 4, false);
+            let parts = division.ask(now * 100, name, &ask(before, demand), 4, HALF);
             held.insert(name.clone(), parts);
-            assert!(held.values().sum::<u64>() <= MOST_HELD);
+            assert!(held.values().sum::<u64>() <= HALF);
         }
     }
 
-    assert!(held["h1"] > MOST_HELD / 2, "{held:?}");
+    assert!(held["h1"] > HALF / 2, "{held:?}");
     assert!(held["h3"] > 0, "an idle host keeps a little: {held:?}");
 }
 
@@ -61,8 +63,8 @@
 fn a_new_owner_raises_nothing_before_every_host_has_told_what_it_holds() {
     let mut division = Division::new(1_000, names());
 
-    let first = division.ask(1_000, &"h1".into(), &ask(200_000, 50), 4, false);
-    let second = division.ask(1_000, &"h2".into(), &ask(0, 50), 4, false);
+    let first = division.ask(1_000, &"h1".into(), &ask(200_000, 50), 4, HALF);
+    let second = division.ask(1_000, &"h2".into(), &ask(0, 50), 4, HALF);
 
     assert!(first <= 200_000);
     assert_eq!(second, 0);
@@ -72,8 +74,8 @@
 fn a_new_owner_opens_when_the_old_portions_have_surely_ended() {
     let mut division = Division::new(1_000, names());
 
-    let early = division.ask(1_000 + PORTION_MS, &"h2".into(), &ask(0, 50), 4, false);
-    let late = division.ask(1_200 + PORTION_MS, &"h2".into(), &ask(0, 50), 4, false);
+    let early = division.ask(1_000 + PORTION_MS, &"h2".into(), &ask(0, 50), 4, HALF);
+    let late = division.ask(1_200 + PORTION_MS, &"h2".into(), &ask(0, 50), 4, HALF);
 
     assert_eq!(early, 0);
     assert!(late > 0);
@@ -84,7 +86,7 @@
     let mut division = Division::new(1_000, names());
     division.keep(|name| **name == *"h2");
 
-    let parts = division.ask(1_000, &"h2".into(), &ask(0, 50), 1, false);
+    let parts = division.ask(1_000, &"h2".into(), &ask(0, 50), 1, HALF);
 
     assert!(parts > 0);
 }
@@ -93,7 +95,7 @@
 fn a_host_goes_on_without_its_owner_until_its_portion_ends() {
     let mut portion = Portion::default();
     portion.ask(0, "w".into());
-    portion.grant(10, 0, MOST_HELD, RATE, 4);
+    portion.grant(10, 0, HALF, RATE, 4);
 
     let early = (0..40)
         .filter(|turn| portion.take(1_000 + turn * 20, RATE, 4))
@@ -109,18 +111,18 @@
 #[test]
 fn nothing_is_held_of_a_rate_that_is_over_its_limit() {
     let mut division = open_division();
-    let held = division.ask(100, &"h1".into(), &ask(0, 50), 4, false);
+    let held = division.ask(100, &"h1".into(), &ask(0, 50), 4, HALF);
     assert!(held > 0);
 
-    let less = division.ask(400, &"h1".into(), &ask(held, 50), 4, true);
+    let less = division.ask(400, &"h1".into(), &ask(held, 50), 4, 0);
     assert_eq!(less, 0);
     assert!(
-        division.in_use(400) >= held,
+        division.in_use(400, HALF) >= held,
         "until the host has confirmed it"
     );
-    division.ask(700, &"h1".into(), &ask(0, 50), 4, true);
+    division.ask(700, &"h1".into(), &ask(0, 50), 4, 0);
 
-    assert!(division.in_use(700) < held);
+    assert!(division.in_use(700, HALF) < held);
 }
 
 #[test]
@@ -160,7 +162,7 @@
                     if chance(8) {
                         continue;
                     }
-                    let parts = division.ask(now, name, &question, 4, false);
+                    let parts = division.ask(now, name, &question, 4, HALF);
                     if !chance(8) {
                         portion.grant(now, now, parts, RATE, 4);
                     }
@@ -195,3 +197,36 @@
     assert!(!is_held(small, 55));
     assert!(is_held(RATE, 25));
 }
+
+#[test]
+fn a_large_rate_is_held_for_the_greater_part() {
+    let rate = |burst| Rate {
+        per_second: burst,
+        burst,
+    };
+
+    assert_eq!(most_held(rate(20)), HALF);
+    assert_eq!(most_held(rate(120)), WHOLE * 4 / 5);
+}
+
+/// The owner is cut off; a host goes on with four fifths of what it may use of a large rate.
+#[test]
+fn a_host_of_a_large_workspace_goes_on_without_the_owner() {
+    let large = Rate {
+        per_second: 120,
+        burst: 120,
+    };
+    let most = most_held(large);
+    let mut division = Division::new(0, [Name::from("h1")]);
+    let mut portion = Portion::default();
+    let question = portion.ask(0, "w".into());
+    let parts = division.ask(0, &"h1".into(), &question, 1, most);
+    portion.grant(1, 0, parts, large, 1);
+
+    let came = (0..240).filter(|turn| portion.take(1_000 + turn * 13, large, 1));
+
+    assert!(
+        came.count() >= 220,
+        "77 operations a second are within the rate"
+    );
+}
--- a/crates/hemlockcrank_host/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -61,6 +61,8 @@
     pub lease: Lease,
     /// Set while this host shuts down.
     pub draining: bool,
+    /// Number of hosts in view that serve callers.
+    pub serving: u64,
 }
 
 impl World {
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -424,6 +424,7 @@
             state: self.state.clone(),
             lease,
             draining: self.draining,
+            serving: self.state.view.serving().count() as u64,
         }));
         let same_records = Arc::ptr_eq(&old.state.records, &self.state.records)
             && Arc::ptr_eq(&old.state.catalog, &self.state.catalog)
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -145,7 +145,7 @@
             if barred || tried.contains(name) || !world.state.groups.takes_work(member) {
                 continue;
             }
-            let pool = self.pool(&world.state, &route.service, name, member);
+            let pool = self.pool(world, &route.service, name, member);
             candidates.push(Candidate {
                 load: pool.load(),
                 near: *member.zone == *self.settings.zone,
--- a/crates/hemlockcrank_host/src/engine/site.rs
+++ b/crates/hemlockcrank_host/src/engine/site.rs
@@ -10,7 +10,6 @@
 use hemlockcrank_core::{
     Name,
     group::{Change, Member},
-    state::State,
 };
 use tokio::{sync::watch, time::sleep};
 
@@ -106,7 +105,7 @@
     /// Connections to a member.
     pub(crate) fn pool(
         &self,
-        state: &State,
+        world: &World,
         service: &Name,
         name: &Name,
         member: &Member,
@@ -123,7 +122,7 @@
             service: service.clone(),
             member: name.clone(),
         };
-        let pool = Pool::new(self.dialect, target, self.capacity(state, service));
+        let pool = Pool::new(self.dialect, target, self.capacity(world, service));
         pools.insert(name.clone(), Arc::clone(&pool));
         pool
     }
@@ -192,7 +191,7 @@
         pools.retain(|name, pool| {
             let known = state.groups.find(name).is_some();
             if known {
-                pool.set_capacity(self.capacity(state, &pool.target.service));
+                pool.set_capacity(self.capacity(world, &pool.target.service));
             } else {
                 pool.close_idle();
             }
@@ -201,11 +200,11 @@
     }
 
     /// This host's part of the connections that a member accepts: even until the leader has divided them.
-    fn capacity(&self, state: &State, service: &Name) -> usize {
+    fn capacity(&self, world: &World, service: &Name) -> usize {
         let even = || {
-            let all = state.catalog.service(service);
+            let all = world.state.catalog.service(service);
             let all = all.map_or(1, |known| known.connections) as usize;
-            all / state.view.serving().count().max(1)
+            all / usize::try_from(world.serving).unwrap_or(usize::MAX).max(1)
         };
         let share = self.board.share(service);
         share.map_or_else(even, |share| share as usize).max(1)
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -25,7 +25,7 @@
         let hold = self.board.hold(service, lead.term)?;
         Some(Choice {
             name: name.clone(),
-            pool: self.pool(&world.state, service, name, member),
+            pool: self.pool(world, service, name, member),
             after: None,
             hold: Some(hold),
         })
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -10,7 +10,7 @@
 
 use hemlockcrank_core::{
     Name,
-    allotment::{Division, MOST_HELD, Portion, PortionAsk, PortionGrant, is_held},
+    allotment::{Division, Portion, PortionAsk, PortionGrant, is_held, most_held},
     record::Rate,
 };
 use hemlockcrank_wire::{Request, Response};
@@ -73,7 +73,7 @@
         let Some(rate) = world.state.catalog.rate(workspace) else {
             return true;
         };
-        let hosts = serving(&world);
+        let hosts = world.serving;
         let mut held = lock(&self.held);
         if !is_held(rate, hosts) && !held.contains_key(workspace) {
             return false;
@@ -90,7 +90,7 @@
             let now = now_ms();
             {
                 let mut held = lock(&self.held);
-                let hosts = serving(&world);
+                let hosts = world.serving;
                 let is_asked = |workspace: &Name| {
                     let rate = world.state.catalog.rate(workspace);
                     rate.is_some_and(|rate| is_held(rate, hosts))
@@ -146,7 +146,7 @@
         for grant in grants.into_iter().flatten() {
             let rate = world.state.catalog.rate(&grant.workspace);
             if let (Some(rate), Some(portion)) = (rate, held.get_mut(&grant.workspace)) {
-                portion.grant(now, asked_at, grant.parts, rate, serving(world));
+                portion.grant(now, asked_at, grant.parts, rate, world.serving);
             }
         }
     }
@@ -184,8 +184,9 @@
                 "the view does not go back"
             );
             entry.division.keep(|name| view.get(name).is_some());
-            let over = entry.over(now);
-            let parts = entry.division.ask(now, host, ask, serving(&world), over);
+            let rate = world.state.catalog.rate(&ask.workspace);
+            let most = rate.filter(|_| !entry.over(now)).map_or(0, most_held);
+            let parts = entry.division.ask(now, host, ask, world.serving, most);
             grants.push(PortionGrant {
                 workspace: ask.workspace.clone(),
                 parts,
@@ -198,8 +199,8 @@
     pub(super) fn in_use(&self, world: &World, workspace: &str, rate: Rate) -> u64 {
         let owned = lock(&self.owned);
         match owned.get(workspace) {
-            Some(owned) => owned.division.in_use(now_ms()),
-            None if is_held(rate, serving(world)) => MOST_HELD,
+            Some(owned) => owned.division.in_use(now_ms(), most_held(rate)),
+            None if is_held(rate, world.serving) => most_held(rate),
             None => 0,
         }
     }
@@ -211,8 +212,3 @@
         }
     }
 }
-
-/// Number of hosts that serve callers.
-fn serving(world: &World) -> u64 {
-    world.state.view.serving().count() as u64
-}
