--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -355,6 +355,11 @@
 }
 
 impl Loan {
+    /// Where the connection goes.
+    pub(crate) fn target(&self) -> &Target {
+        &self.pool.target
+    }
+
     /// The connection.
     pub(crate) fn link(&mut self) -> Option<&mut Link> {
         self.link.as_mut()
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -360,7 +360,7 @@
 }
 
 /// How far a member's log reaches, and how far it had to.
-fn lagging(reached: Option<Position>, wanted: Option<Position>) -> String {
+pub(crate) fn lagging(reached: Option<Position>, wanted: Option<Position>) -> String {
     let show = |position: Option<Position>| match position {
         Some(Position { term, index }) => format!("{term}.{index}"),
         None => "-".to_owned(),
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -1,17 +1,17 @@
 //! A session's open transaction: one connection from its first statement to its end.
 
-use std::{sync::Arc, time::Duration};
+use std::{borrow::Cow, sync::Arc, time::Duration};
 
 use hemlockcrank_core::{catalog::Freshness, retry::Backoff, session::Position};
 use tokio::time::{sleep, timeout};
 
 use super::{
     Code, Own, Site, Status,
-    admission::{Operation, Refusal},
+    admission::{Operation, Refusal, Trail},
     board::Hold,
     link::Answer,
     pool::{Busy, Loan},
-    read::{Choice, Work},
+    read::{Choice, Work, lagging},
 };
 use crate::clock::now_ms;
 
@@ -113,6 +113,7 @@
 
     async fn begin(&mut self, site: &Arc<Site>, work: &Work) -> Result<Seat, Refusal> {
         let mut tried = Vec::new();
+        let mut trail = Trail::default();
         let mut backoff = Backoff::default();
         let patience = now_ms() + self.operation.patience() - self.operation.arrived;
         loop {
@@ -128,36 +129,43 @@
             };
             match choice {
                 Some(choice) => {
-                    tried.push(choice.name.clone());
+                    let member = choice.name.clone();
+                    tried.push(member.clone());
                     match self.sit(site, work, choice).await {
-                        Some(seat) => return Ok(seat),
-                        None => self.operation.is_permitted(&site.world(), primary)?,
+                        Ok(seat) => return Ok(seat),
+                        Err(why) => {
+                            trail.add(&member, &why);
+                            self.operation.is_permitted(&site.world(), primary)?;
+                        }
                     }
                 }
                 None => tried.clear(),
             }
             if now >= patience.min(work.deadline) {
-                return Err(Refusal::new(
-                    Code::Busy,
-                    "no member can open the transaction",
-                ));
+                let refusal = Refusal::new(Code::Busy, "no member can open the transaction");
+                return Err(refusal.after(trail));
             }
             sleep(Duration::from_millis(backoff.pause_ms())).await;
         }
     }
 
-    /// Begins at one member; `None` where nothing has run.
-    async fn sit(&self, site: &Arc<Site>, work: &Work, choice: Choice) -> Option<Seat> {
+    /// Begins at one member; an error tells why nothing has run.
+    async fn sit(
+        &self,
+        site: &Arc<Site>,
+        work: &Work,
+        choice: Choice,
+    ) -> Result<Seat, Cow<'static, str>> {
         let service = &self.operation.route.service;
         let busy = choice.pool.busy();
         let mut loan = match choice.pool.acquire(work.wish(), work.place_limit()).await {
             Ok(loan) => loan,
             Err(error) => {
                 site.missed(&choice, service, error);
-                return None;
+                return Err(<&str>::from(error).into());
             }
         };
-        let link = loan.link()?;
+        let link = loan.link().ok_or("no connection")?;
         let mut own = work.setup(link);
         own.push(Own::Begin {
             read: self.read,
@@ -171,7 +179,7 @@
             if let Some(hold) = &choice.hold {
                 site.primary_failed(service, hold.term());
             }
-            return None;
+            return Err("lost".into());
         };
         if let Some(hold) = &choice.hold {
             site.note_primary(service, hold.term(), sent_at, &answer);
@@ -180,9 +188,13 @@
             if answer.status != Status::Idle {
                 loan.spoil();
             }
-            return None;
+            return Err(match answer.outcome {
+                Err((Code::Lagging, _)) => lagging(answer.position, choice.after).into(),
+                Err((code, _)) => <&str>::from(code).into(),
+                Ok(_) => "not begun".into(),
+            });
         }
-        Some(Seat {
+        Ok(Seat {
             loan,
             hold: choice.hold,
             _busy: busy,
@@ -190,37 +202,37 @@
     }
 
     async fn step(&mut self, site: &Arc<Site>, work: &Work, step: Step) -> Result<Answer, Refusal> {
-        let lost = match step {
-            Step::Commit if self.wrote => Refusal::new(Code::InDoubt, "no answer to the commit"),
-            _ => Refusal::new(Code::Aborted, "the member was lost"),
-        };
         let service = self.operation.route.service.clone();
         let Some(seat) = &mut self.seat else {
             return Err(Refusal::new(Code::Aborted, "the transaction has ended"));
         };
+        let member = seat.loan.target().member.clone();
+        let refused = |code: Code, reason: &'static str, outcome: &str| {
+            let mut trail = Trail::default();
+            trail.add(&member, outcome);
+            Err(Refusal::new(code, reason).after(trail))
+        };
+        let lost = || match step {
+            Step::Commit if self.wrote => refused(Code::InDoubt, "no answer to the commit", "lost"),
+            _ => refused(Code::Aborted, "the member was lost", "lost"),
+        };
         let mut backoff = Backoff::default();
         loop {
             let now = now_ms();
             if now >= work.deadline {
-                return Err(Refusal::new(
-                    Code::Aborted,
-                    "no place at the member in time",
-                ));
+                return refused(Code::Aborted, "no place at the member in time", "busy");
             }
             let held = seat.hold.as_ref().is_none_or(Hold::is_current);
             if !held {
-                return Err(Refusal::new(Code::Aborted, "the primary is being replaced"));
+                return refused(Code::Aborted, "the primary is being replaced", "released");
             }
             if !work.prepare(&mut seat.loan).await {
-                return Err(Refusal::new(
-                    Code::Aborted,
-                    "the session could not be set up",
-                ));
+                return refused(Code::Aborted, "the session could not be set up", "lost");
             }
             self.operation
                 .is_permitted(&site.world(), seat.hold.is_some())?;
             let Some(link) = seat.loan.link() else {
-                return Err(Refusal::new(Code::Aborted, "the member was lost"));
+                return lost();
             };
             let query = work.query(None);
             let sent_at = now_ms();
@@ -229,14 +241,14 @@
                 if let Some(hold) = &seat.hold {
                     site.primary_failed(&service, hold.term());
                 }
-                return Err(lost);
+                return lost();
             };
             if let Some(hold) = &seat.hold {
                 site.note_primary(&service, hold.term(), sent_at, &answer);
                 let authority = hold.is_current() && site.world().has_lease();
                 if step == Step::Commit && self.wrote && answer.outcome.is_ok() {
                     if !authority {
-                        return Err(lost);
+                        return lost();
                     }
                     if let Some(position) = answer.position {
                         site.board.acknowledged(&service, position);
