--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod state;
 pub mod statement;
 pub mod succession;
+pub mod usage;
 
 /// A shared immutable name.
 pub type Name = std::sync::Arc<str>;
--- a/crates/hemlockcrank_core/src/places.rs
+++ b/crates/hemlockcrank_core/src/places.rs
@@ -23,7 +23,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::Name;
+use crate::{Name, usage::Usage};
 
 /// Sessions that may wait for each connection: one further back would be served too late to be of use.
 const WAITING_EACH: usize = 4;
@@ -33,8 +33,6 @@
 const MAX_OPENING: usize = 2;
 /// Time after which half of a workspace's use is forgotten, in milliseconds.
 const HALF_LIFE_MS: u64 = 2_000;
-/// Weight of one use.
-const USE: u64 = 16;
 /// Use of another workspace, relative to the taker's own, up to which its place is taken, in percent.
 const TAKE_PERCENT: u64 = 150;
 /// Time between two openings, as a multiple of the time for which openings queue.
@@ -95,10 +93,30 @@
     since: u64,
 }
 
+/// How long openings take, in microseconds; nothing before the first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Use {
-    weight: u64,
-    halved_at: u64,
+struct OpenTime {
+    usual_us: u64,
+    shortest_us: u64,
+}
+
+impl OpenTime {
+    fn note(&mut self, took_ms: u64) {
+        let took_us = took_ms.clamp(1, MAX_OPEN_MS) * 1_000;
+        if self.usual_us == 0 {
+            self.usual_us = took_us;
+            self.shortest_us = took_us.min(MAX_SHORTEST_MS * 1_000);
+            return;
+        }
+        self.usual_us = (self.usual_us * (SMOOTHING - 1) + took_us) / SMOOTHING;
+        let rising_us = self.shortest_us + self.queued_us() / FORGETTING;
+        self.shortest_us = rising_us.min(took_us);
+    }
+
+    /// Usual time for which an opening queues at the member.
+    fn queued_us(self) -> u64 {
+        self.usual_us.saturating_sub(self.shortest_us)
+    }
 }
 
 /// All places of one host at one member.
@@ -107,15 +125,14 @@
     capacity: usize,
     crowded_until: u64,
     opening: Vec<Opening>,
-    /// Usual and shortest time to open a connection, in microseconds.
-    open_us: Option<(u64, u64)>,
+    open_time: OpenTime,
     /// Time up to which openings are paid for.
     paid_until: u64,
     held: BTreeMap<Link, Held>,
     next_link: Link,
     waiting: BTreeMap<Ticket, Name>,
     next_ticket: u64,
-    uses: BTreeMap<Name, Use>,
+    uses: BTreeMap<Name, Usage>,
 }
 
 impl Places {
@@ -217,7 +234,7 @@
     /// A connection was opened. It counts as in use until it is released, to whoever waits.
     pub fn opened(&mut self, now: u64, workspace: Name) -> Link {
         if let Some(since) = self.end_opening(&workspace) {
-            self.note_open(now.saturating_sub(since));
+            self.open_time.note(now.saturating_sub(since));
         }
         let link = self.next_link;
         self.next_link += 1;
@@ -324,24 +341,9 @@
         Some(self.opening.swap_remove(index).since)
     }
 
-    fn note_open(&mut self, took_ms: u64) {
-        let took_us = took_ms.min(MAX_OPEN_MS) * 1_000;
-        self.open_us = Some(match self.open_us {
-            Some((usual_us, shortest_us)) => {
-                let usual_us = (usual_us * (SMOOTHING - 1) + took_us) / SMOOTHING;
-                let rising_us = shortest_us + usual_us.saturating_sub(shortest_us) / FORGETTING;
-                (usual_us, rising_us.min(took_us))
-            }
-            None => (took_us, took_us.min(MAX_SHORTEST_MS * 1_000)),
-        });
-    }
-
     /// Time that one opening stands for, in milliseconds.
     fn open_interval_ms(&self) -> u64 {
-        let queued_us = self.open_us.map_or(0, |(usual_us, shortest_us)| {
-            usual_us.saturating_sub(shortest_us)
-        });
-        queued_us * OPEN_QUEUES / 1_000
+        self.open_time.queued_us() * OPEN_QUEUES / 1_000
     }
 
     /// Whether a connection may be opened now.
@@ -383,7 +385,7 @@
     /// Free connection whose place is taken: of the least used workspace, unless that is used much more
     /// than the taker's own.
     fn least_used(&mut self, now: u64, taker: &Name, insist: bool) -> Option<Link> {
-        let own = self.weight(now, taker).max(USE);
+        let own = self.weight(now, taker).max(Usage::one());
         let (each, link) = self.rank_free(now)?;
         (insist || each * 100 <= own * TAKE_PERCENT).then_some(link)
     }
@@ -414,19 +416,11 @@
 
     fn weight(&mut self, now: u64, workspace: &Name) -> u64 {
         let used = self.uses.entry(workspace.clone()).or_default();
-        while used.weight > 0 && now >= used.halved_at + HALF_LIFE_MS {
-            used.weight /= 2;
-            used.halved_at += HALF_LIFE_MS;
-        }
-        used.weight
+        used.weight(now, HALF_LIFE_MS)
     }
 
     fn count(&mut self, now: u64, workspace: &Name) {
-        self.weight(now, workspace);
         let used = self.uses.entry(workspace.clone()).or_default();
-        if used.weight == 0 {
-            used.halved_at = now;
-        }
-        used.weight += USE;
+        used.count(now, HALF_LIFE_MS);
     }
 }
--- a/crates/hemlockcrank_host/src/engine/board.rs
+++ b/crates/hemlockcrank_host/src/engine/board.rs
@@ -15,6 +15,7 @@
     floor::{Anchor, Floor, Sample, from_leader},
     session::Position,
     sight::Sight,
+    usage::Usage,
 };
 use hemlockcrank_wire::Bearings;
 
@@ -22,8 +23,6 @@
 
 /// Time after which half of the operations that came is forgotten, in milliseconds.
 const HALF_LIFE_MS: u64 = 3_000;
-/// Weight of one operation.
-const USE: u64 = 16;
 
 #[derive(Debug, Default)]
 struct Seen {
@@ -34,9 +33,8 @@
     served_at: Option<u64>,
     acknowledged: Position,
     holds: usize,
-    /// Operations that came, halved again and again.
-    uses: u64,
-    halved_at: u64,
+    /// Operations that came lately.
+    usage: Usage,
     /// Connections that this host may have at each member.
     share: Option<u32>,
     /// Change whose beginning this host has in force.
@@ -46,18 +44,6 @@
     epoch: u64,
 }
 
-impl Seen {
-    fn halve(&mut self, now: u64) {
-        while self.uses > 0 && now >= self.halved_at + HALF_LIFE_MS {
-            self.uses /= 2;
-            self.halved_at += HALF_LIFE_MS;
-        }
-        if self.uses == 0 {
-            self.halved_at = now;
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     anchor: Option<Anchor>,
@@ -162,8 +148,7 @@
     pub(crate) fn count(&self, now: u64, service: &Name) {
         let mut inner = lock(&self.inner);
         if let Some(seen) = inner.services.get_mut(service) {
-            seen.halve(now);
-            seen.uses += USE;
+            seen.usage.count(now, HALF_LIFE_MS);
         }
     }
 
@@ -241,9 +226,8 @@
                 let position = own.position;
                 Some((anchor.leadership, Sample { at, position }))
             });
-            seen.halve(now);
             Sight {
-                uses: seen.uses,
+                uses: seen.usage.weight(now, HALF_LIFE_MS),
                 service: service.clone(),
                 term: seen.term,
                 failing_ms: seen.failing_since.map(|since| now.saturating_sub(since)),
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -232,7 +232,7 @@
             self.operation
                 .is_permitted(&site.world(), seat.hold.is_some())?;
             let Some(link) = seat.loan.link() else {
-                return lost();
+                return refused(Code::Aborted, "the member was lost", "no connection");
             };
             let query = work.query(None);
             let sent_at = now_ms();
