A connection that carries an unread answer never reaches another session

Cause: a read that ends early (key withdrawn, lease lost) drops an attempt whose answer is outstanding; the pool kept that connection, and the next session read the old answer. Likewise a set-up that failed before a begin that succeeded left an open transaction on a pooled connection. Ruled out: checks in each caller, which the next caller forgets. Change: the connection counts its outstanding answers and keeps its last status; the pool's release closes any connection with an outstanding answer or an open transaction, whoever returns it.

--- a/crates/hemlockcrank_host/src/engine/member_connection.rs
+++ b/crates/hemlockcrank_host/src/engine/member_connection.rs
@@ -70,9 +70,10 @@
     protocol: Protocol,
     pub(crate) values: SessionValues,
     prepared: HashSet<Name>,
-    /// Set if a statement outside a transaction left the session inside a transaction, which must
-    /// be rolled back.
-    needs_rollback: bool,
+    /// Statements that were sent and whose answers have not been read whole.
+    outstanding: usize,
+    /// Status after the last answer.
+    status: Status,
 }
 
 impl MemberConnection {
@@ -112,7 +113,8 @@
             protocol,
             values: SessionValues::new(),
             prepared: HashSet::new(),
-            needs_rollback: false,
+            outstanding: 0,
+            status: Status::Idle,
         })
     }
 
@@ -126,6 +128,12 @@
         no_data && self.input.is_empty()
     }
 
+    /// Whether another session may use the connection: no answer is outstanding on it, and no
+    /// transaction is open. A failed transaction is rolled back by [`Self::setup_statements`].
+    pub(crate) fn is_reusable(&self) -> bool {
+        self.outstanding == 0 && self.status != Status::Open
+    }
+
     /// Statements that set exactly these session values, and prepare this statement.
     pub(crate) fn setup_statements(
         &self,
@@ -133,7 +141,7 @@
         prepared: Option<(&Name, &PreparedStatement)>,
     ) -> Vec<ProxyStatement> {
         let mut statements = Vec::new();
-        if self.needs_rollback {
+        if self.status == Status::Failed {
             statements.push(ProxyStatement::Rollback);
         }
         let has_extra = self.values.keys().any(|name| !values.contains_key(name));
@@ -163,7 +171,7 @@
         for statement in statements {
             (self.protocol.write_proxy_statement)(&mut output, statement);
         }
-        self.send(&output).await?;
+        self.send(&output, statements.len()).await?;
         let mut last = None;
         let mut failed = None;
         for statement in statements {
@@ -181,15 +189,10 @@
     pub(crate) async fn run(&mut self, query: &Query) -> Result<Answer, Broken> {
         let mut output = BytesMut::new();
         (self.protocol.write_query)(&mut output, query);
-        self.send(&output).await?;
+        self.send(&output, 1).await?;
         self.read_answer().await
     }
 
-    /// Records the status after a statement outside a transaction.
-    pub(crate) fn record_status(&mut self, status: Status) {
-        self.needs_rollback = status != Status::Idle;
-    }
-
     /// Updates the session state after a statement of the proxy has succeeded.
     fn apply_effect(&mut self, statement: &ProxyStatement) {
         match statement {
@@ -203,12 +206,14 @@
             ProxyStatement::Prepare(name, _) => {
                 self.prepared.insert(name.clone());
             }
-            ProxyStatement::Rollback => self.needs_rollback = false,
             _ => {}
         }
     }
 
-    async fn send(&mut self, output: &[u8]) -> Result<(), Broken> {
+    /// Sends `statements` statements. They count as outstanding before the first byte leaves, so
+    /// that a caller that stops waiting leaves a connection that is not reused.
+    async fn send(&mut self, output: &[u8], statements: usize) -> Result<(), Broken> {
+        self.outstanding += statements;
         self.stream.write_all(output).await.map_err(|_| Broken)
     }
 
@@ -222,6 +227,8 @@
                 MemberMessage::Failed(code, text) => outcome = Some(Err((code, text))),
                 MemberMessage::Ready { status, position } => {
                     let outcome = outcome.ok_or(Broken)?;
+                    self.outstanding = self.outstanding.saturating_sub(1);
+                    self.status = status;
                     return Ok(Answer {
                         rows,
                         outcome,
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -226,13 +226,19 @@
         }
     }
 
-    /// Passes a connection to a waiting session, replaces it, or keeps it free.
+    /// Passes a connection to a waiting session, replaces it, or keeps it free. One that another
+    /// session must not use is closed.
     fn release(
         self: &Arc<Self>,
         inner: &mut Inner,
         id: ConnectionId,
         connection: MemberConnection,
     ) {
+        if !connection.is_reusable() {
+            drop(connection);
+            self.note_closed(inner, id);
+            return;
+        }
         inner
             .connections
             .set_session_values(id, hash_values(&connection.values));
@@ -256,8 +262,8 @@
     }
 
     /// Removes a closed connection; opens another one if sessions wait.
-    fn closed(self: &Arc<Self>, id: ConnectionId) {
-        let next = lock(&self.inner).connections.closed(now_ms(), id);
+    fn note_closed(self: &Arc<Self>, inner: &mut Inner, id: ConnectionId) {
+        let next = inner.connections.closed(now_ms(), id);
         if let Some(workspace) = next {
             self.open(workspace);
         }
@@ -396,7 +402,8 @@
     /// Closes the connection; the member then rolls back a transaction that is open on it.
     pub(crate) fn close(&mut self) {
         if self.connection.take().is_some() {
-            self.pool.closed(self.id);
+            self.pool
+                .note_closed(&mut lock(&self.pool.inner), self.id);
         }
     }
 }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -389,10 +389,7 @@
         )
         .await
         {
-            Ok(Ok(answer)) => {
-                connection.record_status(answer.status);
-                Ok((sent_at, answer))
-            }
+            Ok(Ok(answer)) => Ok((sent_at, answer)),
             _ => {
                 pooled.close();
                 Err(AttemptError::Lost)
