--- a/crates/hemlockcrank_core/src/catalog.rs
+++ b/crates/hemlockcrank_core/src/catalog.rs
@@ -13,6 +13,8 @@
 //! # Ok::<(), hemlockcrank_core::catalog::Invalid>(())
 //! ```
 
+mod delta;
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
@@ -21,6 +23,8 @@
 
 use crate::{Name, record::Rate};
 
+pub use delta::Delta;
+
 /// Prefix of the whole namespace. Sessions are routed by this prefix and their database name.
 const ROOT_PREFIX: &str = "/";
 
@@ -207,6 +211,15 @@
         &self.text
     }
 
+    /// The same configuration without its text, for hosts that serve no operators.
+    #[must_use]
+    pub fn without_text(&self) -> Self {
+        Self {
+            text: Arc::default(),
+            ..self.clone()
+        }
+    }
+
     /// Idle time after which a transaction may be ended, in milliseconds; 0 for never.
     pub fn transaction_idle_ms(&self) -> u64 {
         self.transaction_idle_ms
--- a/crates/hemlockcrank_core/src/connections.rs
+++ b/crates/hemlockcrank_core/src/connections.rs
@@ -13,6 +13,10 @@
 //! the time: if many workspaces compete for few connections, those that have one are served and the
 //! others wait or are refused.
 //!
+//! On a large site a member accepts fewer connections than there are hosts. Then a host opens
+//! connections as it needs them and closes them after a while of idleness ([`Capacity::fleet`]), so that
+//! the member always has room for the hosts that need one now.
+//!
 //! ```
 //! use hemlockcrank_core::connections::{Connections, Release, Take};
 //!
@@ -53,6 +57,63 @@
 /// as one part in this many.
 const SHORTEST_RISE: u64 = 64;
 
+/// Connections that a host may have to a member that all hosts together can use up, if the host closes
+/// idle ones.
+const BORROWED_CAPACITY: usize = 3;
+/// Connections of a member for each host from which on the hosts keep idle ones.
+const MIN_KEPT_PER_HOST: u64 = 2;
+/// Part of a member's connections that may be idle, as one part in this many.
+const IDLE_PART: u64 = 2;
+/// Shortest and longest time for which an idle connection is kept, in milliseconds.
+const LINGER_MS: (u64, u64) = (50, 2_000);
+
+/// Connections that a host may have to a member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// Largest number of connections.
+    pub connections: usize,
+    /// Set if there are too few for each host to keep its own.
+    pub fleet: Option<Fleet>,
+}
+
+/// All connections of a member, and the hosts that need them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Connections that the member accepts.
+    pub connections: u64,
+    /// Hosts that serve callers.
+    pub hosts: u64,
+}
+
+impl Capacity {
+    /// The capacity of a host that was assigned `share` connections, or an equal share of them if it
+    /// was not assigned any number yet.
+    pub fn new(fleet: Fleet, share: Option<u32>) -> Self {
+        let hosts = fleet.hosts.max(1);
+        if fleet.connections < hosts * MIN_KEPT_PER_HOST {
+            return Self {
+                connections: BORROWED_CAPACITY,
+                fleet: Some(fleet),
+            };
+        }
+        let equal_share = || usize::try_from(fleet.connections / hosts).unwrap_or(usize::MAX);
+        let connections = share.map_or_else(equal_share, |share| share as usize);
+        Self {
+            connections: connections.max(1),
+            fleet: None,
+        }
+    }
+}
+
+impl From<usize> for Capacity {
+    fn from(connections: usize) -> Self {
+        Self {
+            connections,
+            fleet: None,
+        }
+    }
+}
+
 /// Identifies a connection of the pool.
 pub type ConnectionId = u64;
 /// Identifies a waiting session: its rank (lower is served first) and its number in order of arrival.
@@ -127,7 +188,7 @@
 /// Connections of one host to one member, and the sessions that wait for them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Connections {
-    capacity: usize,
+    capacity: Capacity,
     opening_paused_until: u64,
     opening: Vec<Opening>,
     open_time: OpenTime,
@@ -138,27 +199,66 @@
     waiting: BTreeMap<Ticket, Name>,
     next_ticket: u64,
     usage: BTreeMap<Name, Usage>,
+    /// Use by all workspaces.
+    total_usage: Usage,
 }
 
 impl Connections {
     /// No connections yet, and at most `capacity`.
-    pub fn new(capacity: usize) -> Self {
+    pub fn new<C>(capacity: C) -> Self
+    where
+        C: Into<Capacity>,
+    {
         Self {
-            capacity,
+            capacity: capacity.into(),
             ..Self::default()
         }
     }
 
     /// Changes the number of connections allowed; see [`Connections::trim`].
-    pub fn set_capacity(&mut self, capacity: usize) {
-        self.capacity = capacity;
+    pub fn set_capacity<C>(&mut self, capacity: C)
+    where
+        C: Into<Capacity>,
+    {
+        self.capacity = capacity.into();
+    }
+
+    /// Time after which an idle connection is closed, in milliseconds; `None` if it is kept. It is so
+    /// short that the idle connections of all hosts take a part of what the member accepts, if the others
+    /// use it as much as this host does.
+    pub fn linger_ms(&mut self, now: u64) -> Option<u64> {
+        let fleet = self.capacity.fleet?;
+        let (shortest, longest) = LINGER_MS;
+        let uses = self.total_usage.weight(now, HALF_LIFE_MS) * fleet.hosts;
+        let spared = fleet.connections * Usage::one_use() * HALF_LIFE_MS / IDLE_PART;
+        Some(
+            spared
+                .checked_div(uses)
+                .unwrap_or(longest)
+                .clamp(shortest, longest),
+        )
+    }
+
+    /// Removes the connections that have been idle for too long, for the caller to close.
+    pub fn take_idle(&mut self, now: u64) -> Vec<ConnectionId> {
+        let Some(linger_ms) = self.linger_ms(now) else {
+            return Vec::new();
+        };
+        let idle = self.connections.iter().filter(|(_, connection)| {
+            connection.free && now >= connection.last_used_at + linger_ms
+        });
+        let idle: Vec<ConnectionId> = idle.map(|(id, _)| *id).collect();
+        for id in &idle {
+            self.connections.remove(id);
+        }
+        idle
     }
 
     /// Removes free connections over the capacity, those of the least used workspaces first. The caller
     /// closes them, because other hosts may open that many instead.
     pub fn trim(&mut self, now: u64) -> Vec<ConnectionId> {
         let mut removed = Vec::new();
-        while self.connections.len() + self.opening.len() > self.capacity {
+        while self.connections.len() + self.opening.len() > self.capacity.connections {
             let Some(id) = self.least_used_free(now).map(|(_, id)| id) else {
                 break;
             };
@@ -231,7 +331,7 @@
 
     /// Adds a session to the queue; `None` when the queue is full.
     pub fn wait(&mut self, workspace: Name, rank: u32) -> Option<Ticket> {
-        let max_waiting = (self.capacity * WAITING_PER_CONNECTION).max(MIN_QUEUE);
+        let max_waiting = (self.capacity.connections * WAITING_PER_CONNECTION).max(MIN_QUEUE);
         if self.waiting.len() >= max_waiting {
             return None;
         }
@@ -339,7 +439,7 @@
     }
 
     fn has_capacity(&self, now: u64) -> bool {
-        self.connections.len() + self.opening.len() < self.capacity
+        self.connections.len() + self.opening.len() < self.capacity.connections
             && now >= self.opening_paused_until
     }
 
@@ -461,5 +561,6 @@
     fn record_use(&mut self, now: u64, workspace: &Name) {
         let usage = self.usage.entry(workspace.clone()).or_default();
         usage.record(now, HALF_LIFE_MS);
+        self.total_usage.record(now, HALF_LIFE_MS);
     }
 }
--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -10,6 +10,8 @@
 //! - [`state`]: the state machine on top of the log: [`record`]s, the view of live hosts
 //!   ([`membership`]), databases ([`directory`]) and [`placement`].
 //! - [`lease`]: how long a host may serve requests from its copy of the state.
+//! - [`updates`], [`relay`]: how hosts follow the log, and how those of a large site do so
+//!   without asking the leader.
 //! - [`session`], [`route`], [`request`], [`retry`]: processing of one statement.
 //! - [`failover`]: changes of primary.
 //! - [`catalog`], [`group`], [`succession`], [`floor`]: sites whose configuration is submitted as a
@@ -41,6 +43,7 @@
 pub mod queue;
 pub mod quota;
 pub mod record;
+pub mod relay;
 pub mod request;
 pub mod retry;
 pub mod route;
@@ -49,6 +52,7 @@
 pub mod state;
 pub mod statement;
 pub mod succession;
+pub mod updates;
 pub mod usage;
 
 /// A shared immutable name.
--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -46,7 +46,24 @@
     pub control: Option<SocketAddr>,
 }
 
+/// One process of a host, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct HostId {
+    /// Name of the host.
+    pub name: Name,
+    /// Start time of the process.
+    pub incarnation: u64,
+}
+
 impl Host {
+    /// Identifies this process of the host.
+    pub fn id(&self) -> HostId {
+        HostId {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Creates a host without addresses.
     pub fn new(name: impl Into<Name>, zone: impl Into<Name>) -> Self {
         Self {
@@ -105,6 +122,25 @@
         self.hosts.get(name).map(|hashed| &hashed.host)
     }
 
+    /// The host of this process, if it is the one in view.
+    pub fn find(&self, id: &HostId) -> Option<&Host> {
+        self.get(&id.name)
+            .filter(|host| host.incarnation == id.incarnation)
+    }
+
+    /// The control host from which `host` receives the log when it does not ask the leader: one in
+    /// its own availability zone where there is one.
+    pub fn relay_for(&self, host: &Host) -> Option<&Host> {
+        let key = hash(&host.name);
+        let controls = self
+            .hosts
+            .values()
+            .filter(|hashed| hashed.host.control.is_some() && hashed.host.name != host.name);
+        let best =
+            controls.max_by_key(|hashed| (hashed.host.zone == host.zone, score(key, hashed)));
+        best.map(|hashed| &hashed.host)
+    }
+
     /// All hosts, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = &Host> {
         self.hosts.values().map(|hashed| &hashed.host)
--- a/crates/hemlockcrank_core/src/observation.rs
+++ b/crates/hemlockcrank_core/src/observation.rs
@@ -5,6 +5,8 @@
 //! primary that is being replaced, how far commits have been acknowledged, and the newest samples
 //! of [`crate::floor`].
 
+mod merge;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
@@ -17,6 +19,8 @@
     succession::Fencing,
 };
 
+pub use merge::merge;
+
 /// Age after which a host's observation no longer counts as a success or failure, in milliseconds.
 const OBSERVATION_MAX_AGE_MS: u64 = 1_500;
 
@@ -41,6 +45,28 @@
     pub sample: Option<(u64, Sample)>,
 }
 
+/// One host's use of one service, which cannot be merged with that of other hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Use {
+    /// Service.
+    pub service: Name,
+    /// Change of primary for which the host has released the old primary.
+    pub released: Option<u64>,
+    /// Recent operations of the service at this host, as a decaying count.
+    pub operations: u64,
+}
+
+impl Observation {
+    /// The part that concerns this host alone.
+    pub fn to_use(&self) -> Use {
+        Use {
+            service: self.service.clone(),
+            released: self.released,
+            operations: self.operations,
+        }
+    }
+}
+
 /// Latest observation of a host, and when the control leader received it.
 #[derive(Clone, Debug)]
 struct TimedObservation {
@@ -54,6 +80,8 @@
     leader_term: u64,
     /// Latest observation by service and host.
     received: BTreeMap<Name, BTreeMap<Name, TimedObservation>>,
+    /// Latest use by service and host.
+    uses: BTreeMap<Name, BTreeMap<Name, Use>>,
     acknowledged: BTreeMap<Name, Position>,
     floors: BTreeMap<Name, Floor>,
 }
@@ -76,16 +104,29 @@
         for hosts in self.received.values_mut() {
             hosts.retain(|host, _| in_view(host));
         }
+        for hosts in self.uses.values_mut() {
+            hosts.retain(|host, _| in_view(host));
+        }
     }
 
     /// Recent operations at each host that has reported an observation of the service.
     pub fn operations(&self, service: &str) -> impl Iterator<Item = (Name, u64)> {
-        let hosts = self.received.get(service).into_iter().flatten();
-        hosts.map(|(host, received)| (host.clone(), received.observation.operations))
+        let hosts = self.uses.get(service).into_iter().flatten();
+        hosts.map(|(host, used)| (host.clone(), used.operations))
+    }
+
+    /// Records what a host that follows through a relay uses.
+    pub fn record_uses(&mut self, host: &Name, uses: Vec<Use>) {
+        for used in uses {
+            let hosts = self.uses.entry(used.service.clone()).or_default();
+            hosts.insert(host.clone(), used);
+        }
     }
 
     /// Records the observations of a host.
     pub fn record(&mut self, now: u64, host: &Name, observations: Vec<Observation>) {
+        let uses = observations.iter().map(Observation::to_use).collect();
+        self.record_uses(host, uses);
         for observation in observations {
             let service = observation.service.clone();
             let highest = self.acknowledged.entry(service.clone()).or_default();
@@ -143,11 +184,10 @@
         I: IntoIterator<Item = (&'a Name, u64)>,
     {
         let change = group.change.map(|change| change.index);
-        let received = self.received.get(service);
+        let uses = self.uses.get(service);
         let released = |host: &Name| {
-            let received = received.and_then(|hosts| hosts.get(host));
-            received
-                .is_some_and(|received| change.is_some() && received.observation.released == change)
+            let used = uses.and_then(|hosts| hosts.get(host));
+            used.is_some_and(|used| change.is_some() && used.released == change)
         };
         let mut complete = true;
         let mut confirmed = true;
--- a/crates/hemlockcrank_core/src/share.rs
+++ b/crates/hemlockcrank_core/src/share.rs
@@ -39,8 +39,8 @@
 
 impl Shares {
     /// Divides `accepted` connections, less the reserved ones, between the hosts in `uses` by their use.
-    /// Other hosts get none.
-    pub fn update<I>(&mut self, accepted: u32, uses: I)
+    /// Other hosts get none. Returns whether the shares may have changed.
+    pub fn update<I>(&mut self, accepted: u32, uses: I) -> bool
     where
         I: IntoIterator<Item = (Name, u64)>,
     {
@@ -55,10 +55,12 @@
             let share = self.by_host.get(host);
             share.is_some_and(|share| exact.abs_diff(u64::from(*share) * HUNDRED) < TOLERANCE)
         });
-        if self.total != total || !same_hosts || !within_tolerance {
+        let changed = self.total != total || !same_hosts || !within_tolerance;
+        if changed {
             self.total = total;
             self.by_host = round(total, &exact);
         }
+        changed
     }
 
     /// Number of connections for a host; `None` for a host that [`Shares::update`] did not include.
--- a/crates/hemlockcrank_core/src/state.rs
+++ b/crates/hemlockcrank_core/src/state.rs
@@ -9,7 +9,7 @@
     catalog::Catalog,
     directory::{Announcement, Directory, Promotion},
     group::{Edit, Groups},
-    membership::{Host, View},
+    membership::{Host, HostId, View},
     placement::{PlacementKey, Placements},
     record::{Change, Outcome, Store},
     session::Position,
@@ -60,6 +60,13 @@
     Catalog(Arc<Catalog>),
     /// A change to a group that manages its own replication, or to a zone.
     Group(Edit),
+    /// Hosts started or became reachable again, and others went down.
+    Hosts {
+        /// Hosts that are up.
+        up: Vec<Host>,
+        /// Processes that are down.
+        down: Vec<HostId>,
+    },
 }
 
 /// The answer to a command.
@@ -143,6 +150,17 @@
                 }
                 reply_if(newer)
             }
+            Command::Hosts { up, down } => {
+                let view = Arc::make_mut(&mut self.view);
+                let mut changed = false;
+                for id in down {
+                    changed |= view.remove(&id.name, id.incarnation);
+                }
+                for host in up {
+                    changed |= view.insert(host.clone());
+                }
+                reply_if(changed)
+            }
             Command::Group(edit) => reply_if(Arc::make_mut(&mut self.groups).apply(index, edit)),
         }
     }
--- /dev/null
+++ b/crates/hemlockcrank_core/tests/following/main.rs
@@ -0,0 +1,5 @@
+//! Hosts that follow the control log, directly and through relays.
+
+mod load;
+mod relays;
+mod updates;
--- a/crates/hemlockcrank_host/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -10,7 +10,7 @@
 //! - `supervisor`: the leader's detection of dead hosts and failed primaries.
 //! - `coordinator`: the leader's part in changes of primary in databases that replicate on their
 //!   own.
-//! - `poller`: polling the leader for updates and a lease.
+//! - `poller`: polling the leader, or a relay, for updates and a lease.
 
 mod actor;
 mod bootstrap;
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -4,20 +4,28 @@
 mod events;
 mod leadership;
 mod polling;
+mod relaying;
 mod responses;
 mod succession;
 
-use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use hemlockcrank_core::{
     Name,
     consensus::{Config, Envelope, Input, Role, Timing},
     failover::Report,
-    membership::Host,
+    membership::{Host, HostId, View},
+    relay::Followers,
     state::{Command, Reply, State},
     succession::{Order, OrderReply, PromotionReply},
+    updates::Updates,
 };
-use hemlockcrank_wire::{Fetch, FetchReply, Formation, ProposeReply, Request, Response, Update};
+use hemlockcrank_wire::{Division, Fetch, FetchReply, Formation, ProposeReply, Request, Response};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use rand_chacha::{
     ChaCha8Rng,
@@ -50,11 +58,6 @@
 const FORM_INTERVAL_MS: u64 = 200;
 /// Interval between two requests to join, in milliseconds.
 const JOIN_INTERVAL_MS: u64 = 1_000;
-/// Number of applied entries kept for polling hosts, also after the log is compacted; a host that
-/// is further behind gets the whole state.
-const UPDATES_KEPT: usize = 4_096;
-/// Number of catalogs among them; each holds a complete configuration.
-const CATALOGS_KEPT: usize = 4;
 /// Longest random addition to an election timeout on a host with a platform, in milliseconds.
 const PLATFORM_SPREAD_MS: u64 = 300;
 /// Silence after which a voter is replaced on a host with a platform, in milliseconds.
@@ -72,6 +75,8 @@
     /// The polled host answered, or the poll failed or timed out.
     PollAnswered {
         asked_at: u64,
+        /// Followers that the poll listed.
+        listed: BTreeSet<HostId>,
         answer: Option<FetchReply>,
     },
     /// Reports of this host's health checks.
@@ -115,6 +120,7 @@
 /// A poll that is answered when there are new entries, or at its deadline.
 struct LongPoll {
     fetch: Fetch,
+    received_at: u64,
     deadline: u64,
     port: RpcReplyPort<Response>,
 }
@@ -136,9 +142,14 @@
     next_form_at: u64,
     next_join_at: u64,
     state: State,
-    /// The last applied entries, oldest first, without gaps.
-    recent_updates: VecDeque<Update>,
+    updates: Updates,
     poller: Poller,
+    /// Hosts that follow the log through this host while it does not lead.
+    followers: Followers,
+    /// Division of connections between them.
+    division: Division,
+    /// Hosts to add to the view, at the leader.
+    pending_up: BTreeMap<Name, Host>,
     long_polls: Vec<LongPoll>,
     /// Present while this host leads the control group.
     supervisor: Option<Supervisor>,
@@ -216,8 +227,11 @@
             next_form_at: 0,
             next_join_at: 0,
             state: state.unwrap_or_default(),
-            recent_updates: VecDeque::new(),
+            updates: Updates::default(),
             poller: Poller::default(),
+            followers: Followers::default(),
+            division: Division::default(),
+            pending_up: BTreeMap::new(),
             long_polls: Vec::new(),
             supervisor: None,
             role: None,
@@ -239,9 +253,11 @@
             Message::Tick => self.tick()?,
             Message::Call(request, port) => self.handle_call(request, port)?,
             Message::FormationAnswered(from, formation) => self.note_formation(&from, formation)?,
-            Message::PollAnswered { asked_at, answer } => {
-                self.apply_poll_answer(asked_at, answer);
-            }
+            Message::PollAnswered {
+                asked_at,
+                listed,
+                answer,
+            } => self.apply_poll_answer(asked_at, listed, answer),
             Message::Reports(reports) => self.set_reports(reports),
             Message::NotifyLeader => self.poll(now_ms(), true),
             Message::OrderAnswered {
@@ -277,6 +293,7 @@
         }
         self.join_group(now)?;
         self.lead(now)?;
+        self.relay_urgent(now);
         self.poll(now, false);
         if let Some(group) = &mut self.group
             && group.compact(&self.state)?
@@ -305,7 +322,7 @@
                 self.step_group(Input::Join(id))?;
             }
             Request::Formation => reply(port, Response::Formation(self.formation())),
-            Request::Fetch(fetch) => self.receive_poll(fetch, port)?,
+            Request::Fetch(fetch) => self.receive_poll(fetch, port),
             Request::Propose(command) => {
                 let (answer, committed) = ractor::concurrency::oneshot();
                 self.propose(&command, Some(answer.into()))?;
@@ -378,22 +395,21 @@
 
     fn replace_state(&mut self, state: State) {
         if state.index > self.state.index {
+            self.followers
+                .retain(now_ms(), &self.state.view, &state.view);
+            self.updates.restart(&state.catalog);
             self.state = state;
-            self.recent_updates.clear();
         }
     }
 
     fn apply(&mut self, index: u64, command: Option<&Command>) -> Reply {
+        let old_view = Arc::clone(&self.state.view);
         let outcome = self.state.apply(index, command);
-        if self.recent_updates.len() == UPDATES_KEPT {
-            self.recent_updates.pop_front();
+        if !Arc::ptr_eq(&old_view, &self.state.view) {
+            self.note_view_change(index, &old_view);
         }
-        self.recent_updates.push_back(Update {
-            index,
-            command: command.cloned(),
-        });
-        if matches!(command, Some(Command::Catalog(_))) {
-            self.drop_old_catalogs();
+        if self.group.is_some() {
+            self.updates.push(index, command, &outcome);
         }
         if let Some(command) = command {
             self.log_command(index, command, &outcome);
@@ -401,21 +417,16 @@
         outcome
     }
 
-    /// Drops entries until at most [`CATALOGS_KEPT`] catalogs remain, since catalogs are large; a
-    /// host that is further behind gets the whole state.
-    fn drop_old_catalogs(&mut self) {
-        let is_catalog = |update: &Update| matches!(update.command, Some(Command::Catalog(_)));
-        let mut catalogs = self
-            .recent_updates
-            .iter()
-            .filter(|update| is_catalog(update))
-            .count();
-        while catalogs > CATALOGS_KEPT {
-            catalogs -= usize::from(
-                self.recent_updates
-                    .pop_front()
-                    .is_some_and(|update| is_catalog(&update)),
-            );
+    fn note_view_change(&mut self, index: u64, old_view: &View) {
+        let view = &self.state.view;
+        self.followers.retain(now_ms(), old_view, view);
+        if let Some(supervisor) = &mut self.supervisor {
+            let removed = old_view
+                .iter()
+                .filter(|host| view.get(&host.name).is_none());
+            for host in removed {
+                supervisor.note_removed(now_ms(), index, &host.name);
+            }
         }
     }
 
--- a/crates/hemlockcrank_host/src/control/actor/events.rs
+++ b/crates/hemlockcrank_host/src/control/actor/events.rs
@@ -34,6 +34,14 @@
             (Command::HostDown { name, .. }, Reply::Done) => {
                 log.emit(Event::HostDown, &[("peer", name), ("index", &index)]);
             }
+            (Command::Hosts { up, down }, Reply::Done) => {
+                for host in up {
+                    log.emit(Event::HostUp, &[("peer", &host.name), ("index", &index)]);
+                }
+                for id in down {
+                    log.emit(Event::HostDown, &[("peer", &id.name), ("index", &index)]);
+                }
+            }
             (Command::Announce(announcement), _) => {
                 let fields: [(&str, &dyn std::fmt::Display); 2] = [
                     ("database", &announcement.database),
--- a/crates/hemlockcrank_host/src/control/actor/leadership.rs
+++ b/crates/hemlockcrank_host/src/control/actor/leadership.rs
@@ -4,6 +4,7 @@
 
 use hemlockcrank_core::{
     consensus::{Id, Role},
+    relay::Followers,
     state::Command,
 };
 use hemlockcrank_wire::ProposeReply;
@@ -56,6 +57,8 @@
         }
         match (is_leader, self.supervisor.is_some()) {
             (true, false) => {
+                self.followers = Followers::default();
+                self.pending_up.clear();
                 self.supervisor = Some(Supervisor::begin(now_ms(), &self.state));
                 self.coordinator = self.callbacks.as_ref().map(|_| Coordinator::new(term));
             }
@@ -76,7 +79,7 @@
         let Some(supervisor) = &mut self.supervisor else {
             return Ok(());
         };
-        let host_up = supervisor.note_heartbeat(now, &self.state, &self.host, self.state.index);
+        let own_up = supervisor.note_heartbeat(now, &self.state, &self.host, self.state.index);
         supervisor.note_reports(now, &self.host.name, self.reports.clone());
         supervisor.note_serves(&self.host.name, self.settings.listen.caller.is_some());
         if let Some(coordinator) = &mut self.coordinator {
@@ -85,7 +88,15 @@
                 .record(now, &self.host.name, self.primaries.observations(now));
         }
         let mut commands = supervisor.tick(now, &self.state);
-        commands.extend(host_up.filter(|_| !self.draining));
+        let down = supervisor.dead_hosts(now, &self.state);
+        let mut up = std::mem::take(&mut self.pending_up);
+        if own_up && !self.draining {
+            up.insert(self.host.name.clone(), self.host.clone());
+        }
+        if !up.is_empty() || !down.is_empty() {
+            let up = up.into_values().collect();
+            commands.push(Command::Hosts { up, down });
+        }
         for command in commands {
             self.propose(&command, None)?;
         }
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -7,9 +7,9 @@
     Name,
     consensus::Node,
     state::Command,
-    succession::{Inputs, Order, OrderReply, PromotionReply},
+    succession::{Fencing, Inputs, Order, OrderReply, PromotionReply},
 };
-use hemlockcrank_wire::{LeaderStatus, PositionSample};
+use hemlockcrank_wire::{Fetch, LeaderStatus, PositionSample};
 
 use super::{ActorState, Message};
 use crate::{
@@ -49,7 +49,10 @@
                 group,
                 service,
                 sync_replicas: settings.map_or(1, |settings| settings.sync_replicas),
-                fencing: coordinator.settled(now, service, group, lease_ends),
+                fencing: match group.change {
+                    Some(_) => coordinator.settled(now, service, group, lease_ends),
+                    None => Fencing::default(),
+                },
                 failing_ms: coordinator.observations.failing_ms(now, service, term),
             };
             let succession = coordinator.succession(service, group);
@@ -117,7 +120,7 @@
 
     /// The leader's clock, samples and connection shares, which go with each answer to a polling
     /// host.
-    pub(super) fn leader_info(&mut self, host: &Name) -> LeaderStatus {
+    pub(super) fn leader_info(&mut self, fetch: &Fetch) -> LeaderStatus {
         let now = now_ms();
         let Some(coordinator) = &mut self.coordinator else {
             return LeaderStatus::default();
@@ -136,7 +139,9 @@
             leader_term: coordinator.term,
             clock_ms: now,
             samples: samples.collect(),
-            shares: coordinator.shares_of(host),
+            shares: coordinator.shares_of(&fetch.host.name),
+            leader: Some(self.host.name.clone()),
+            division: coordinator.division_for(fetch),
         }
     }
 
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -24,6 +24,8 @@
     succession::{Fencing, Order, OrderReply, PromotionReply, Succession},
 };
 
+use hemlockcrank_wire::{Division, Fetch};
+
 use crate::clock::now_ms;
 
 /// Time after a change of the view in which the hosts' reports on commits may be incomplete, in
@@ -102,6 +104,8 @@
     successions: BTreeMap<Name, Succession>,
     shares: BTreeMap<Name, Shares>,
     divided_at: u64,
+    /// Number of changes of the division in this leadership.
+    divisions: u64,
 }
 
 impl Coordinator {
@@ -116,6 +120,7 @@
             successions: BTreeMap::new(),
             shares: BTreeMap::new(),
             divided_at: 0,
+            divisions: 0,
         }
     }
 
@@ -148,7 +153,9 @@
                 .collect();
             if hosts > 0 && operations.len() == hosts {
                 let shares = self.shares.entry(service.clone()).or_default();
-                shares.update(settings.connections, operations);
+                if shares.update(settings.connections, operations) {
+                    self.divisions += 1;
+                }
             }
         }
     }
@@ -160,6 +167,18 @@
         shares.filter_map(share).collect()
     }
 
+    /// The division between the followers that a relay lists, unless the relay has it.
+    pub(crate) fn division_for(&self, fetch: &Fetch) -> Option<Division> {
+        let version = (self.term << 32) + self.divisions;
+        if self.divisions == 0 || fetch.followers.is_empty() || fetch.division == version {
+            return None;
+        }
+        let names = fetch.followers.iter().map(|follower| &follower.id.name);
+        let shares = names.map(|host| (host.clone(), self.shares_of(host)));
+        let shares = shares.collect();
+        Some(Division { version, shares })
+    }
+
     /// Whether all hosts have stopped using a primary, and the newest commit that they
     /// acknowledged. A host that recently left or restarted may have acknowledged commits that no
     /// other host saw, so the result is not exact until [`VIEW_SETTLE_MS`] after a change of the
--- a/crates/hemlockcrank_host/src/control/poller.rs
+++ b/crates/hemlockcrank_host/src/control/poller.rs
@@ -1,32 +1,42 @@
-//! Polling the leader for updates and a lease.
+//! Polling the leader, or a relay, for updates and a lease.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use hemlockcrank_core::{
     Name,
     lease::{self, Lease},
+    membership::HostId,
 };
 
 /// Pause after a poll that failed or was redirected, in milliseconds.
 const RETRY_MS: u64 = 50;
+/// Time for which a relay that did not grant a lease is not polled again, in milliseconds.
+const RELAY_PAUSE_MS: u64 = 2_000;
 
 /// A grant that becomes a lease once the local state has reached its index.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Grant {
     index: u64,
     asked_at: u64,
     remaining_ms: u64,
+    /// Followers that the poll listed.
+    listed: BTreeSet<HostId>,
 }
 
 /// Address to poll next, the state of the current poll, and the lease.
 #[derive(Debug, Default)]
 pub(crate) struct Poller {
     lease: Lease,
+    /// Followers that may be granted a lease under this host's own.
+    listed: BTreeSet<HostId>,
     pending_grant: Option<Grant>,
-    leader: Option<(Name, SocketAddr)>,
+    leader: Option<Name>,
+    /// Address that answered the last poll, or that another host named as the leader's.
+    parent: Option<SocketAddr>,
     next_address: usize,
     in_flight: bool,
     next_poll_at: u64,
+    relay_paused_until: u64,
 }
 
 impl Poller {
@@ -35,62 +45,98 @@
         self.lease
     }
 
+    /// Whether the poll that led to the current lease listed this follower.
+    pub(crate) fn lists(&self, follower: &HostId) -> bool {
+        self.listed.contains(follower)
+    }
+
     /// Leader, if it is known.
     pub(crate) fn leader(&self) -> Option<&Name> {
-        self.leader.as_ref().map(|(name, _)| name)
+        self.leader.as_ref()
     }
 
-    /// Starts a poll if one is due and returns its address: the known leader, else the next of
-    /// `addresses`.
-    pub(crate) fn start(&mut self, now: u64, addresses: &[SocketAddr]) -> Option<SocketAddr> {
+    /// Address that this host polls, if it is known.
+    pub(crate) fn parent(&self) -> Option<SocketAddr> {
+        self.parent
+    }
+
+    /// Starts a poll if one is due and returns its address: that of `relay` if there is one and it
+    /// has not failed lately, else the parent, else the next of `addresses`.
+    pub(crate) fn start(
+        &mut self,
+        now: u64,
+        relay: Option<SocketAddr>,
+        addresses: &[SocketAddr],
+    ) -> Option<SocketAddr> {
         if self.in_flight || now < self.next_poll_at {
             return None;
         }
-        let address = match &self.leader {
-            Some((_, address)) => *address,
+        let relay = relay.filter(|_| now >= self.relay_paused_until);
+        let address = match relay.or(self.parent) {
+            Some(address) => address,
             None => {
                 self.next_address += 1;
                 *addresses.get(self.next_address % addresses.len().max(1))?
             }
         };
         self.in_flight = true;
+        self.parent = Some(address);
         Some(address)
     }
 
     /// Notes that the poll got no answer.
     pub(crate) fn note_failure(&mut self, now: u64) {
         self.in_flight = false;
-        self.leader = None;
+        self.parent = None;
         self.next_poll_at = now + RETRY_MS;
+        self.relay_paused_until = now + RELAY_PAUSE_MS;
     }
 
-    /// Notes that the polled host is not the leader, and the leader that it named.
+    /// Notes that the polled host grants no lease, and the leader that it named.
     pub(crate) fn note_redirect(&mut self, now: u64, leader: Option<(Name, SocketAddr)>) {
-        self.in_flight = false;
-        self.leader = leader;
-        self.next_poll_at = now + RETRY_MS;
+        self.note_failure(now);
+        if let Some((name, address)) = leader {
+            self.leader = Some(name);
+            self.parent = Some(address);
+        }
     }
 
-    /// Notes a lease grant that takes effect once `index` is applied.
-    pub(crate) fn note_grant(&mut self, index: u64, asked_at: u64, remaining_ms: u64) {
+    /// Notes a lease grant that takes effect once `index` is applied, and the followers that the
+    /// poll listed.
+    pub(crate) fn note_grant(
+        &mut self,
+        index: u64,
+        asked_at: u64,
+        remaining_ms: u64,
+        listed: BTreeSet<HostId>,
+    ) {
         self.in_flight = false;
         self.pending_grant = Some(Grant {
             index,
             asked_at,
             remaining_ms,
+            listed,
         });
     }
 
+    /// Notes the leader that an answer named.
+    pub(crate) fn note_leader(&mut self, leader: Name) {
+        self.leader = Some(leader);
+    }
+
     /// Renews the lease from a pending grant whose index has been applied.
     pub(crate) fn note_applied(&mut self, index: u64) {
         if let Some(grant) = self.pending_grant.take_if(|grant| grant.index <= index) {
             self.lease.renew(grant.asked_at, grant.remaining_ms);
+            self.listed = grant.listed;
         }
     }
 
     /// Renews the lease of this host while it is the leader.
     pub(crate) fn renew_as_leader(&mut self, now: u64) {
         self.leader = None;
+        self.parent = None;
+        self.listed.clear();
         self.lease.renew(now, lease::DURATION_MS);
     }
 }
--- a/crates/hemlockcrank_host/src/control/supervisor.rs
+++ b/crates/hemlockcrank_host/src/control/supervisor.rs
@@ -10,7 +10,7 @@
     directory::Database,
     failover::{Arbiter, Report, Verdict},
     lease,
-    membership::Host,
+    membership::{Host, HostId},
     quota::{LOAN_MARGIN_MS, LOAN_MS},
     state::{Command, State},
 };
@@ -32,10 +32,19 @@
     serves: bool,
 }
 
+/// Removal of a host from the view.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    at: u64,
+    index: u64,
+}
+
 /// Host liveness, reports on databases, and recent proposals of the control leader.
 #[derive(Debug, Default)]
 pub(crate) struct Supervisor {
     heartbeats: BTreeMap<Name, Heartbeat>,
+    /// Hosts removed lately.
+    removed: BTreeMap<Name, Removal>,
     /// Reports on each database.
     arbiters: BTreeMap<Name, Arbiter>,
     /// Member that an operator asked for as the primary, by database.
@@ -61,15 +70,15 @@
         }
     }
 
-    /// Notes a poll from a host; returns the command that adds the host when the view does not have
-    /// it.
+    /// Notes a poll from a host, or a relay's list that contains it; returns whether the host has to
+    /// be added to the view.
     pub(crate) fn note_heartbeat(
         &mut self,
         now: u64,
         state: &State,
         host: &Host,
         applied: u64,
-    ) -> Option<Command> {
+    ) -> bool {
         let last = self.heartbeats.get(&host.name);
         let serves = last.is_none_or(|heartbeat| heartbeat.serves);
         let heartbeat = Heartbeat {
@@ -79,11 +88,25 @@
         };
         self.heartbeats.insert(host.name.clone(), heartbeat);
         if state.view.get(&host.name) == Some(host) {
-            return None;
+            return false;
         }
         let key = format!("up/{}/{}", host.name, host.incarnation);
         self.may_propose(now, &key)
-            .then(|| Command::HostUp(host.clone()))
+    }
+
+    /// Notes the log index at which a host was removed from the view.
+    pub(crate) fn note_removed(&mut self, now: u64, index: u64, host: &Name) {
+        self.removed
+            .retain(|_, removal| now < removal.at + HOST_DEAD_MS);
+        self.removed
+            .insert(host.clone(), Removal { at: now, index });
+    }
+
+    /// Whether a host was removed after `index`, so that a relay that has applied the log up to there
+    /// may still list it.
+    pub(crate) fn removed_after(&self, host: &str, index: u64) -> bool {
+        let removal = self.removed.get(host);
+        removal.is_some_and(|removal| index < removal.index)
     }
 
     /// Notes a host's reports on databases.
@@ -123,8 +146,7 @@
 
     /// Commands to propose now.
     pub(crate) fn tick(&mut self, now: u64, state: &State) -> Vec<Command> {
-        let mut commands = self.remove_dead_hosts(now, state);
-        commands.extend(self.begin_promotions(now, state));
+        let commands = self.begin_promotions(now, state);
         self.proposed.retain(|_, at| *at + PROPOSE_AGAIN_MS > now);
         commands
     }
@@ -144,8 +166,9 @@
             .collect()
     }
 
-    fn remove_dead_hosts(&mut self, now: u64, state: &State) -> Vec<Command> {
-        let mut commands = Vec::new();
+    /// Hosts in the view whose leases and loans have certainly ended.
+    pub(crate) fn dead_hosts(&mut self, now: u64, state: &State) -> Vec<HostId> {
+        let mut dead = Vec::new();
         for host in state.view.iter() {
             let heartbeat = self.heartbeats.get(&host.name);
             let last_at = heartbeat.map_or(now, |heartbeat| heartbeat.at);
@@ -154,13 +177,10 @@
             }
             let key = format!("down/{}/{}", host.name, host.incarnation);
             if self.may_propose(now, &key) {
-                commands.push(Command::HostDown {
-                    name: host.name.clone(),
-                    incarnation: host.incarnation,
-                });
+                dead.push(host.id());
             }
         }
-        commands
+        dead
     }
 
     fn begin_promotions(&mut self, now: u64, state: &State) -> Vec<Command> {
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -13,10 +13,13 @@
 use hemlockcrank_core::{
     Name,
     balance::Load,
-    connections::{ConnectionId, Connections, Release, Take, Ticket},
+    connections::{Capacity, ConnectionId, Connections, Release, Take, Ticket},
 };
 use strum::IntoStaticStr;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::{
+    sync::oneshot,
+    time::{sleep, timeout},
+};
 
 use super::{
     Code, Protocol,
@@ -69,6 +72,8 @@
     last_failure: Option<(u64, Unavailable)>,
     /// Load and latency of the member, as observed by this host.
     load: Load,
+    /// Set while a task waits to close idle connections.
+    idle_check_scheduled: bool,
 }
 
 /// All connections of this host to one member.
@@ -88,7 +93,7 @@
 }
 
 impl Pool {
-    pub(crate) fn new(protocol: Protocol, target: Target, capacity: usize) -> Arc<Self> {
+    pub(crate) fn new(protocol: Protocol, target: Target, capacity: Capacity) -> Arc<Self> {
         let inner = Inner {
             connections: Connections::new(capacity),
             ..Inner::default()
@@ -101,7 +106,7 @@
     }
 
     /// Changes how many connections this host may have.
-    pub(crate) fn set_capacity(&self, capacity: usize) {
+    pub(crate) fn set_capacity(&self, capacity: Capacity) {
         let mut inner = lock(&self.inner);
         inner.connections.set_capacity(capacity);
         inner.trim();
@@ -246,6 +251,7 @@
             Release::Keep => {
                 inner.free.insert(id, connection);
                 inner.trim();
+                self.schedule_idle_check(inner);
             }
             Release::Give(ticket) => {
                 let open = (id, Box::new(connection));
@@ -261,6 +267,28 @@
         }
     }
 
+    /// Closes idle connections later, if they are not to be kept.
+    fn schedule_idle_check(self: &Arc<Self>, inner: &mut Inner) {
+        let Some(linger_ms) = inner.connections.linger_ms(now_ms()) else {
+            return;
+        };
+        if std::mem::replace(&mut inner.idle_check_scheduled, true) {
+            return;
+        }
+        let pool = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(linger_ms)).await;
+            let mut inner = lock(&pool.inner);
+            inner.idle_check_scheduled = false;
+            for id in inner.connections.take_idle(now_ms()) {
+                inner.free.remove(&id);
+            }
+            if !inner.free.is_empty() {
+                pool.schedule_idle_check(&mut inner);
+            }
+        });
+    }
+
     /// Removes a closed connection; opens another one if sessions wait.
     fn note_closed(self: &Arc<Self>, inner: &mut Inner, id: ConnectionId) {
         let next = inner.connections.closed(now_ms(), id);
@@ -402,8 +430,7 @@
     /// Closes the connection; the member then rolls back a transaction that is open on it.
     pub(crate) fn close(&mut self) {
         if self.connection.take().is_some() {
-            self.pool
-                .note_closed(&mut lock(&self.pool.inner), self.id);
+            self.pool.note_closed(&mut lock(&self.pool.inner), self.id);
         }
     }
 }
--- a/crates/hemlockcrank_host/src/engine/primaries.rs
+++ b/crates/hemlockcrank_host/src/engine/primaries.rs
@@ -18,7 +18,7 @@
     session::Position,
     usage::Usage,
 };
-use hemlockcrank_wire::LeaderStatus;
+use hemlockcrank_wire::{LeaderStatus, PositionSample};
 
 use crate::sync::lock;
 
@@ -253,6 +253,30 @@
         observations.collect()
     }
 
+    /// What this host has learned from the leader, for hosts that follow through it: lower bounds of
+    /// the leader's clock and of the times of all samples.
+    pub(crate) fn leader_status(&self, now: u64) -> LeaderStatus {
+        let inner = lock(&self.inner);
+        let Some(anchor) = inner.anchor else {
+            return LeaderStatus::default();
+        };
+        let samples = inner.services.iter().filter_map(|(service, primary)| {
+            let (term, sample) = primary.floor.newest()?;
+            Some(PositionSample {
+                service: service.clone(),
+                term,
+                position: sample.position,
+                age_ms: now.saturating_sub(sample.at),
+            })
+        });
+        LeaderStatus {
+            leader_term: anchor.leader_term,
+            clock_ms: anchor.to_leader_time(now).unwrap_or(anchor.leader_ms),
+            samples: samples.collect(),
+            ..LeaderStatus::default()
+        }
+    }
+
     /// Applies the leader's answer to a request sent at `asked_at`: its clock, the shares of
     /// connections, and the samples of all hosts.
     pub(crate) fn apply_leader_status(&self, asked_at: u64, now: u64, status: &LeaderStatus) {
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -10,6 +10,7 @@
 
 use hemlockcrank_core::{
     Name,
+    connections::{Capacity, Fleet},
     group::{Change, Member},
 };
 use tokio::{sync::watch, time::sleep};
@@ -209,21 +210,14 @@
         });
     }
 
-    /// Connections that this host may have at each member of a service: its share as assigned by
-    /// the control leader, or an equal share before that.
-    fn capacity(&self, host_state: &HostState, service: &Name) -> usize {
-        let equal_share = || {
-            let service = host_state.state.catalog.service(service);
-            let total = service.map_or(1, |service| service.connections) as usize;
-            total
-                / usize::try_from(host_state.serving_hosts)
-                    .unwrap_or(usize::MAX)
-                    .max(1)
+    /// Connections that this host may have at each member of a service.
+    fn capacity(&self, host_state: &HostState, service: &Name) -> Capacity {
+        let settings = host_state.state.catalog.service(service);
+        let fleet = Fleet {
+            connections: settings.map_or(1, |settings| u64::from(settings.connections)),
+            hosts: host_state.serving_hosts,
         };
-        let share = self.primaries.share(service);
-        share
-            .map_or_else(equal_share, |share| share as usize)
-            .max(1)
+        Capacity::new(fleet, self.primaries.share(service))
     }
 
     /// Releases primaries that are being replaced. Released ones stay in `pending` until their
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -1,6 +1,6 @@
 //! Requests and responses exchanged between hosts.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use hemlockcrank_core::{
     Name,
@@ -10,8 +10,10 @@
     membership::Host,
     observation::Observation,
     quota::{Answer, Handover, PortionGrant, PortionRequest, Settlement},
+    relay::Follower,
     session::Position,
     state::{Command, Reply, State},
+    updates::Update,
 };
 use serde::{Deserialize, Serialize};
 
@@ -104,6 +106,24 @@
     pub serves_callers: bool,
     /// Reports on the primaries that the sender uses.
     pub primaries: Vec<Observation>,
+    /// Version of the configuration that the sender has, to which a change may refer.
+    pub catalog_version: u64,
+    /// Time for which the receiver may wait for new log entries before it answers, in milliseconds.
+    pub hold_ms: u64,
+    /// Hosts that follow the log through the sender.
+    pub followers: Vec<Follower>,
+    /// Version of the division of connections that the sender has for all its followers; 0 if it
+    /// has none.
+    pub division: u64,
+}
+
+/// The division of connections between the followers of a relay.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Division {
+    /// Version; differs between any two divisions.
+    pub version: u64,
+    /// Shares of each follower, as in [`LeaderStatus::shares`].
+    pub shares: BTreeMap<Name, Vec<(Name, u32)>>,
 }
 
 /// The leader's clock, its samples of the primaries' positions and the receiver's connection
@@ -118,6 +138,10 @@
     pub samples: Vec<PositionSample>,
     /// By service, the number of connections that the receiver may open to each member.
     pub shares: Vec<(Name, u32)>,
+    /// Name of the leader.
+    pub leader: Option<Name>,
+    /// For a relay, the division between its followers if it has changed.
+    pub division: Option<Division>,
 }
 
 /// A position that was an upper bound of all acknowledged commits at the time of sampling.
@@ -133,15 +157,6 @@
     pub age_ms: u64,
 }
 
-/// A committed log entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Update {
-    /// Log index.
-    pub index: u64,
-    /// Command; `None` for entries that the consensus protocol adds itself.
-    pub command: Option<Command>,
-}
-
 /// The answer to [`Fetch`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FetchReply {
--- a/crates/hemlockcrank_wire/src/client.rs
+++ b/crates/hemlockcrank_wire/src/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use h2::client::SendRequest;
+use h2::{RecvStream, client::SendRequest};
 use hemlockcrank_core::{Name, clock::Stamp};
 use http::{Request as HttpRequest, StatusCode};
 use thiserror::Error;
@@ -16,6 +16,8 @@
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest pause between two parts of a body.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Flow-control window of each stream and of the connection, in bytes.
 const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
@@ -48,9 +50,15 @@
 }
 
 impl CallError {
-    /// Whether the call is treated as not executed by the peer: all errors except [`Self::Lost`].
+    /// Whether the peer has certainly not executed the call. The status 500 and an answer that cannot
+    /// be decoded come after it has.
     pub fn is_unexecuted(&self) -> bool {
-        !matches!(self, Self::Lost { .. })
+        match self {
+            Self::Unreached { .. } => true,
+            Self::Lost { .. } => false,
+            Self::Refused { status, .. } => *status != StatusCode::INTERNAL_SERVER_ERROR,
+            Self::Codec(error) => matches!(error, CodecError::Encode(_)),
+        }
     }
 }
 
@@ -82,7 +90,8 @@
     ///
     /// # Errors
     ///
-    /// [`CallError`]; [`CallError::Lost`] leaves open whether the peer executed the call.
+    /// [`CallError`]; [`CallError::Lost`] leaves open whether the peer executed the call. `time_limit`
+    /// is the longest wait for the start of the answer.
     pub async fn call(
         &self,
         stamp: Stamp,
@@ -95,23 +104,21 @@
             body: request,
         })?;
         let sender = self.ready_sender().await?;
-        match timeout(time_limit, self.exchange(sender, body)).await {
-            Ok(Err(error @ CallError::Lost { .. })) => {
-                self.disconnect().await;
-                Err(error)
-            }
-            Ok(answer) => answer,
-            Err(_) => {
-                self.disconnect().await;
-                Err(CallError::Lost { peer })
-            }
+        let answer = match timeout(time_limit, self.send(sender, body)).await {
+            Ok(Ok(stream)) => self.receive(stream).await,
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(CallError::Lost { peer }),
+        };
+        if matches!(answer, Err(CallError::Lost { .. })) {
+            self.disconnect().await;
         }
+        answer
     }
 
     async fn ready_sender(&self) -> Result<SendRequest<Bytes>, CallError> {
         let mut current = self.sender.lock().await;
         if let Some(sender) = current.clone()
-            && let Ok(ready) = sender.ready().await
+            && let Ok(Ok(ready)) = timeout(CONNECT_TIMEOUT, sender.ready()).await
         {
             return Ok(ready);
         }
@@ -145,11 +152,12 @@
         Ok(sender)
     }
 
-    async fn exchange(
+    /// Sends a request and waits for the head of the answer.
+    async fn send(
         &self,
         mut sender: SendRequest<Bytes>,
         body: Vec<u8>,
-    ) -> Result<Frame<Response>, CallError> {
+    ) -> Result<RecvStream, CallError> {
         let peer = self.peer;
         let lost_error = |_| CallError::Lost { peer };
         let head = HttpRequest::post(format!("http://{peer}/call"))
@@ -166,7 +174,14 @@
         if status != StatusCode::OK {
             return Err(CallError::Refused { peer, status });
         }
-        let bytes = read_body(answer.into_body())
+        Ok(answer.into_body())
+    }
+
+    /// Reads the body of an answer. A slow link may take longer than the time limit of the call, so
+    /// only a pause of [`READ_TIMEOUT`] ends the call.
+    async fn receive(&self, stream: RecvStream) -> Result<Frame<Response>, CallError> {
+        let peer = self.peer;
+        let bytes = read_body(stream, READ_TIMEOUT)
             .await
             .map_err(|_| CallError::Lost { peer })?;
         Ok(decode(&bytes)?)
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -17,15 +17,15 @@
 mod server;
 
 pub use call::{
-    EventRecord, Fetch, FetchReply, Formation, Frame, HostProgress, LeaderStatus, PositionSample,
-    ProposeReply, Request, Response, Update,
+    Division, EventRecord, Fetch, FetchReply, Formation, Frame, HostProgress, LeaderStatus,
+    PositionSample, ProposeReply, Request, Response,
 };
 pub use client::{CallError, Client};
 pub use codec::{CodecError, decode, encode};
 pub use server::{Incoming, serve};
 
 /// Version of the protocol between hosts.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 /// Maximum size of a request or response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
--- a/crates/hemlockcrank_wire/src/server.rs
+++ b/crates/hemlockcrank_wire/src/server.rs
@@ -1,6 +1,6 @@
 //! Server for calls from peers.
 
-use std::{future::Future, sync::Arc};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use h2::{RecvStream, server::SendResponse};
@@ -8,12 +8,17 @@
 use http::{Request as HttpRequest, Response as HttpResponse, StatusCode};
 use subtle::ConstantTimeEq;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use crate::{
     Frame, MAX_BODY_BYTES, PROOF_HEADER, Request, Response, VERSION, VERSION_HEADER, decode, encode,
 };
 
+/// Longest pause between two parts of a request's body.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of concurrent calls on one peer connection.
 const MAX_STREAMS: u32 = 10_000;
 /// Flow-control window of each stream and of the connection, in bytes.
@@ -31,6 +36,9 @@
     /// The body is larger than [`MAX_BODY_BYTES`].
     #[error("body is over the limit")]
     Oversized,
+    /// The next part of the body did not arrive in time.
+    #[error("body stalled")]
+    Stalled,
 }
 
 /// Accepts connections from peers and answers each call with `handle`, until the future is dropped.
@@ -116,16 +124,20 @@
     if !bool::from(received_proof.ct_eq(proof.as_bytes())) {
         return Err(StatusCode::FORBIDDEN);
     }
-    let bytes = read_body(request.into_body())
+    let bytes = read_body(request.into_body(), READ_TIMEOUT)
         .await
         .map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
     decode(&bytes).map_err(|_| StatusCode::BAD_REQUEST)
 }
 
-/// Reads a whole body, releasing flow-control capacity after each chunk.
-pub(crate) async fn read_body(mut stream: RecvStream) -> Result<Bytes, BodyError> {
+/// Reads a whole body, releasing flow-control capacity after each chunk. `pause` is the longest wait
+/// for the next chunk.
+pub(crate) async fn read_body(mut stream: RecvStream, pause: Duration) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = stream.data().await {
+    while let Some(chunk) = timeout(pause, stream.data())
+        .await
+        .map_err(|_| BodyError::Stalled)?
+    {
         let chunk = chunk?;
         stream.flow_control().release_capacity(chunk.len())?;
         if body.len() + chunk.len() > MAX_BODY_BYTES {
