The control group has as many voters as the site's bound on lost disks needs

Cause: the group aimed for three voters wherever it ran; a site that has to bear the loss of two disks at once needs five. It came to more than three only by another fault: one silent voter had every learner that had caught up promoted. Ruled out: counting learners as a safeguard (they don't vote, so a lost majority stays lost). Change: the setting disk_losses (rendered by the deploy template), 2n+1 voters; a learner is promoted only while fewer voters than that respond, and any learner that caught up is considered, not the first alone. Tests: consensus steps one_silent_voter_is_replaced_by_one_learner_not_by_all_of_them (failed before: five voters in place of three), a_group_that_bears_the_loss_of_two_disks_grows_to_five_voters; seeds, settings. Left: voters that respond are not removed when there are more than the target.

--- a/crates/hemlockcrank_core/src/consensus/membership.rs
+++ b/crates/hemlockcrank_core/src/consensus/membership.rs
@@ -3,7 +3,7 @@
 //! The leader appends a change only when both the previous change and an entry of its current term
 //! are committed. There are three kinds:
 //!
-//! - **add** one voter, a learner that has caught up,
+//! - **add** one voter, a learner that has caught up, while fewer voters than the target respond,
 //! - **remove** one voter,
 //! - **swap** a voter for a newer incarnation of the *same host*. The old incarnation can never act
 //!   again, so every quorum of the old group consists of the other voters, and any quorum of the
@@ -48,26 +48,30 @@
 
     fn next_config(&self, now: u64) -> Option<Config> {
         let config = self.log.config();
-        let caught_up = config.learners.iter().find(|id| self.is_caught_up(id, now));
-        if let Some(learner) = caught_up {
-            let mut next = config.clone();
-            let old_incarnation = config.voters.iter().find(|v| v.host == learner.host);
-            let any_unresponsive = config.voters.iter().any(|v| self.is_unresponsive(v, now));
-            if let Some(voter) = old_incarnation {
+        let responsive = config
+            .voters
+            .iter()
+            .filter(|v| !self.is_unresponsive(v, now));
+        let needs_voter = responsive.count() < self.timing.target_voters;
+        let mut caught_up = config
+            .learners
+            .iter()
+            .filter(|id| self.is_caught_up(id, now));
+        let mut next = config.clone();
+        let old_incarnation = |learner: &&Id| config.voters.iter().find(|v| v.host == learner.host);
+        if let Some(learner) =
+            caught_up.find(|learner| needs_voter || old_incarnation(learner).is_some())
+        {
+            if let Some(voter) = old_incarnation(&learner) {
                 next.voters.remove(voter);
-            } else if config.voters.len() >= self.timing.target_voters && !any_unresponsive {
-                return None;
             }
             next.learners.remove(learner);
             next.voters.insert(learner.clone());
             return Some(next);
         }
         if config.voters.len() > self.timing.target_voters {
-            let unresponsive = config
-                .voters
-                .iter()
-                .find(|v| self.is_unresponsive(v, now))?;
-            let mut next = config.clone();
+            let mut voters = config.voters.iter();
+            let unresponsive = voters.find(|v| self.is_unresponsive(v, now))?;
             next.voters.remove(unresponsive);
             return Some(next);
         }
--- a/crates/hemlockcrank_core/tests/consensus/steps.rs
+++ b/crates/hemlockcrank_core/tests/consensus/steps.rs
@@ -6,7 +6,11 @@
 
 /// A cluster of three with the elected leader `a`.
 fn cluster_with_leader() -> Cluster {
-    let mut cluster = Cluster::new(&["a", "b", "c"], Timing::default(), InjectedBug::None);
+    cluster_with_timing(Timing::default())
+}
+
+fn cluster_with_timing(timing: Timing) -> Cluster {
+    let mut cluster = Cluster::new(&["a", "b", "c"], timing, InjectedBug::None);
     cluster.now = 10_000;
     cluster.input(0, Input::Campaign).expect("campaign");
     deliver_all(&mut cluster, &[]);
@@ -131,6 +135,54 @@
     assert_eq!(voters, ["a", "b", "d"]);
 }
 
+/// Adds hosts that know the group's configuration and ask to join.
+fn join_spares(cluster: &mut Cluster, names: &[&str], timing: &Timing) {
+    let config = cluster.hosts[0].disk.snapshot.config.clone();
+    for spare in Cluster::new(names, timing.clone(), InjectedBug::None).hosts {
+        let (id, mut disk) = (spare.id.clone(), spare.disk.clone());
+        disk.snapshot.config = config.clone();
+        let node = Node::restore(id.clone(), disk.clone(), timing.clone(), cluster.now);
+        cluster.hosts.push(crate::cluster::Host {
+            id: id.clone(),
+            disk,
+            node: Some(node),
+        });
+        cluster.input(0, Input::Join(id)).expect("join");
+        deliver_all(cluster, &[]);
+    }
+}
+
+fn voters_of_leader(cluster: &Cluster) -> Vec<String> {
+    let config = cluster.hosts[0].node.as_ref().expect("node").log().config();
+    config.voters.iter().map(|id| id.host.to_string()).collect()
+}
+
+#[test]
+fn one_silent_voter_is_replaced_by_one_learner_not_by_all_of_them() {
+    let mut cluster = cluster_with_leader();
+    join_spares(&mut cluster, &["d", "e", "f"], &Timing::default());
+
+    advance(&mut cluster, 35_000, &["c"]);
+
+    assert_eq!(voters_of_leader(&cluster), ["a", "b", "d"]);
+}
+
+/// Where two disks may be lost at once, three voters are too few: the group that three seeds formed
+/// grows to five, and no further.
+#[test]
+fn a_group_that_bears_the_loss_of_two_disks_grows_to_five_voters() {
+    let timing = Timing {
+        target_voters: 5,
+        ..Timing::default()
+    };
+    let mut cluster = cluster_with_timing(timing.clone());
+    join_spares(&mut cluster, &["d", "e", "f"], &timing);
+
+    advance(&mut cluster, 3_000, &[]);
+
+    assert_eq!(voters_of_leader(&cluster), ["a", "b", "c", "d", "e"]);
+}
+
 #[test]
 fn a_follower_refuses_to_vote_within_the_election_timeout() {
     let id = |name: &str| Id::new(name, 1);
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -493,7 +493,10 @@
 /// Time limits of the control group. A platform starts and stops hosts on its own, so there a
 /// silent voter is replaced before a second one is likely to be lost.
 fn timing(settings: &Settings) -> Timing {
-    let mut timing = Timing::default();
+    let mut timing = Timing {
+        target_voters: 2 * settings.disk_losses + 1,
+        ..Timing::default()
+    };
     if settings.platform.is_some() {
         timing.voter_timeout_ms = PLATFORM_SILENT_MS;
         timing.election_spread_ms = PLATFORM_SPREAD_MS;
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -113,6 +113,10 @@
     pub password: Name,
 }
 
+/// Largest number of disks that may be lost at once; more voters than it takes would slow every
+/// change.
+const MAX_DISK_LOSSES: usize = 3;
+
 /// Form of the log lines.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, Serialize, Deserialize,
@@ -177,6 +181,10 @@
     pub promotions: Option<SocketAddr>,
 }
 
+fn default_disk_losses() -> usize {
+    1
+}
+
 /// Settings of one host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -200,6 +208,10 @@
     /// Whether the hosts of `seeds` form the control group at the first start.
     #[serde(default)]
     pub found_from_seeds: bool,
+    /// Number of hosts that may lose their disks at once. The control group aims for twice as many
+    /// voters and one.
+    #[serde(default = "default_disk_losses")]
+    pub disk_losses: usize,
     /// Platform that replaces PostgreSQL.
     #[serde(default)]
     pub platform: Option<Platform>,
@@ -297,6 +309,13 @@
         if self.zone.is_empty() {
             return fail("zone", "is empty".into(), "name the availability zone");
         }
+        if !(1..=MAX_DISK_LOSSES).contains(&self.disk_losses) {
+            return fail(
+                "disk_losses",
+                format!("is {}", self.disk_losses),
+                "between 1 and 3 disks may be lost at once",
+            );
+        }
         let addresses = [
             Some(self.listen.peer),
             Some(self.listen.operator),
--- a/crates/hemlockcrank_host/tests/seeds.rs
+++ b/crates/hemlockcrank_host/tests/seeds.rs
@@ -77,6 +77,7 @@
         ("{{#dataDir}}\"data_dir\": \"{{.}}\",{{/dataDir}}", ""),
         ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.0.0.2:8400\""),
         ("{{bootstrap|json}}", "false"),
+        ("{{faultTolerance.machines|json}}", "2"),
         (
             "{{#listen.control}}\"control\": \"{{.}}\",{{/listen.control}}",
             "",
@@ -93,9 +94,20 @@
 
     let settings = Settings::parse("rendered", &text).expect("valid settings");
 
+    assert_eq!(settings.disk_losses, 2);
     assert!(
         settings
             .platform
             .is_some_and(|platform| platform.ready.is_some())
     );
 }
+
+#[test]
+fn a_number_of_lost_disks_out_of_range_is_refused_by_name() {
+    let text = settings("10.0.0.1", true)
+        .replace(r#""platform": {}"#, r#""platform": {}, "disk_losses": 0"#);
+
+    let error = Settings::parse("losses", &text).expect_err("no voter may be lost");
+
+    assert!(error.to_string().contains("disk_losses"), "{error}");
+}
--- a/crates/hemlockcrank_standin/src/site.rs
+++ b/crates/hemlockcrank_standin/src/site.rs
@@ -372,6 +372,7 @@
         peers: peers.iter().filter(|p| p.host != *name).cloned().collect(),
         seeds: Vec::new(),
         found_from_seeds: false,
+        disk_losses: 1,
         platform: None,
         data_dir: voters.contains(&index).then(|| folder.join(&**name)),
         bootstrap: voters.iter().map(|index| names[*index].clone()).collect(),
