--- a/crates/hemlockcrank_core/src/connections.rs
+++ b/crates/hemlockcrank_core/src/connections.rs
@@ -40,6 +40,8 @@
 const MAX_OPENING: usize = 2;
 /// Half-life of a workspace's recorded use, in milliseconds.
 const HALF_LIFE_MS: u64 = 2_000;
+/// Workspaces whose use is kept, beyond those that were used lately.
+const MAX_USAGES: usize = 64;
 /// Use of another workspace, relative to the requesting workspace's own, up to which its connection is
 /// replaced, in percent.
 const REPLACE_PERCENT: u64 = 150;
@@ -257,6 +259,10 @@
     /// Removes free connections over the capacity, those of the least used workspaces first. The caller
     /// closes them, because other hosts may open that many instead.
     pub fn trim(&mut self, now: u64) -> Vec<ConnectionId> {
+        if self.usage.len() > MAX_USAGES {
+            self.usage
+                .retain(|_, usage| usage.weight(now, HALF_LIFE_MS) > 0);
+        }
         let mut removed = Vec::new();
         while self.connections.len() + self.opening.len() > self.capacity.connections {
             let Some(id) = self.least_used_free(now).map(|(_, id)| id) else {
--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -16,7 +16,7 @@
 use crate::Name;
 
 /// Number of departed members that are remembered, so that a delayed announcement does not add them
-/// again.
+/// again. Beyond it the one that announced itself first is forgotten.
 const MAX_DEPARTED: usize = 512;
 
 /// Orders the announcements of one member: by its start, then by its own counter.
@@ -283,8 +283,11 @@
         if restarted {
             return false;
         }
-        if self.departed.len() == MAX_DEPARTED {
-            self.departed.pop_first();
+        if self.departed.len() == MAX_DEPARTED && !self.departed.contains_key(member) {
+            let oldest = self.departed.iter().min_by_key(|(_, age)| **age);
+            if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+                self.departed.remove(&oldest);
+            }
         }
         let last = self.departed.entry(member.clone()).or_default();
         *last = age.max(*last);
--- a/crates/hemlockcrank_core/tests/site.rs
+++ b/crates/hemlockcrank_core/tests/site.rs
@@ -184,6 +184,31 @@
     assert_eq!(members(&state.groups), ["new"]);
 }
 
+/// After more departures than are remembered, a delayed announcement of a member that left lately is
+/// still refused, whatever its name.
+#[test]
+fn the_oldest_departure_is_forgotten_first() {
+    let mut state = State::default();
+    for number in 0..600_u64 {
+        let name = format!("{:03}", 999 - number);
+        let member = notice(&name, 5_000, number + 1, 1);
+        apply(&mut state, &Command::Group(Edit::Announce(member)));
+        let depart = Edit::Depart {
+            member: name.into(),
+            age: Age {
+                born: number + 1,
+                seq: 9,
+            },
+        };
+        apply(&mut state, &Command::Group(depart));
+    }
+
+    let recent = notice("401", 5_001, 599, 5);
+    let reply = apply(&mut state, &Command::Group(Edit::Announce(recent)));
+
+    assert_eq!(reply, Reply::Stale);
+}
+
 #[test]
 fn a_late_announcement_does_not_add_a_departed_member_again() {
     let mut state = State::default();
