--- a/crates/hemlockcrank/tests/processes.rs
+++ b/crates/hemlockcrank/tests/processes.rs
@@ -19,6 +19,8 @@
 
 /// Longest wait for the site to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// State of an established connection in the kernel's list of sockets.
+const CONNECTED: &str = "01";
 /// Interval between two polls of the site.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -119,6 +121,29 @@
     client
 }
 
+/// Waits until a caller's bytes wait unread at a stopped host.
+async fn wait_for_unread_input(site: &Site, index: usize) {
+    let address = site.settings[index].listen.caller.expect("an address");
+    let port = format!(":{:04X}", address.port());
+    let has_unread = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let queued = fields.get(4).and_then(|queues| queues.split_once(':'));
+        let connected = fields.get(3) == Some(&CONNECTED);
+        connected
+            && fields.get(1).is_some_and(|local| local.ends_with(&port))
+            && queued.is_some_and(|(_, unread)| unread.bytes().any(|digit| digit != b'0'))
+    };
+    let deadline = Instant::now() + READY_TIMEOUT;
+    loop {
+        let sockets = std::fs::read_to_string("/proc/net/tcp").expect("list of sockets");
+        if sockets.lines().skip(1).any(has_unread) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "no input arrived");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 async fn save(client: &tokio_postgres::Client, id: &str) {
     let insert = "INSERT INTO orders (id, sign) VALUES ($1, $2)";
     let count = client.execute(insert, &[&id, &"brass"]).await;
@@ -208,7 +233,7 @@
             .batch_execute("INSERT INTO orders (id, sign) VALUES ('late', 'x')")
             .await
     });
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    wait_for_unread_input(&site, 2).await;
     site.processes[2].signal("-CONT");
 
     let error = insert
