--- a/crates/hemlockcrank_core/src/connections.rs
+++ b/crates/hemlockcrank_core/src/connections.rs
@@ -27,10 +27,16 @@
 //! assert_eq!(connections.release(20, id), ticket.map_or(Release::Keep, Release::Give));
 //! ```
 
+mod capacity;
+mod open_time;
+
 use std::collections::BTreeMap;
 
 use crate::{Name, usage::Usage};
 
+pub use capacity::{Capacity, Fleet};
+use open_time::OpenTime;
+
 /// Sessions that may wait for each connection. In a longer queue, the last ones would be served too late
 /// to be of use.
 const WAITING_PER_CONNECTION: usize = 4;
@@ -49,73 +55,6 @@
 const OPEN_INTERVAL_FACTOR: u64 = 12;
 /// Openings that may follow each other at once after a time without openings.
 const OPEN_BURST: u64 = 3;
-/// Upper bound of the first estimate of the time to open a connection without queueing, in milliseconds.
-const MAX_SHORTEST_MS: u64 = 30;
-/// Largest measured time to open a connection; longer ones are counted as this, in milliseconds.
-const MAX_OPEN_MS: u64 = 100;
-/// Weight of the newest opening time in the moving average, as one part in this many.
-const SMOOTHING: u64 = 8;
-/// Fraction of the distance by which the shortest opening time rises towards the average at each opening,
-/// as one part in this many.
-const SHORTEST_RISE: u64 = 64;
-
-/// Connections that a host may have to a member that all hosts together can use up, if the host closes
-/// idle ones.
-const BORROWED_CAPACITY: usize = 3;
-/// Connections of a member for each host from which on the hosts keep idle ones.
-const MIN_KEPT_PER_HOST: u64 = 2;
-/// Part of a member's connections that may be idle, as one part in this many.
-const IDLE_PART: u64 = 2;
-/// Shortest and longest time for which an idle connection is kept, in milliseconds.
-const LINGER_MS: (u64, u64) = (50, 2_000);
-
-/// Connections that a host may have to a member.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Capacity {
-    /// Largest number of connections.
-    pub connections: usize,
-    /// Set if there are too few for each host to keep its own.
-    pub fleet: Option<Fleet>,
-}
-
-/// All connections of a member, and the hosts that need them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Fleet {
-    /// Connections that the member accepts.
-    pub connections: u64,
-    /// Hosts that serve callers.
-    pub hosts: u64,
-}
-
-impl Capacity {
-    /// The capacity of a host that was assigned `share` connections, or an equal share of them if it
-    /// was not assigned any number yet.
-    pub fn new(fleet: Fleet, share: Option<u32>) -> Self {
-        let hosts = fleet.hosts.max(1);
-        if fleet.connections < hosts * MIN_KEPT_PER_HOST {
-            return Self {
-                connections: BORROWED_CAPACITY,
-                fleet: Some(fleet),
-            };
-        }
-        let equal_share = || usize::try_from(fleet.connections / hosts).unwrap_or(usize::MAX);
-        let connections = share.map_or_else(equal_share, |share| share as usize);
-        Self {
-            connections: connections.max(1),
-            fleet: None,
-        }
-    }
-}
-
-impl From<usize> for Capacity {
-    fn from(connections: usize) -> Self {
-        Self {
-            connections,
-            fleet: None,
-        }
-    }
-}
-
 /// Identifies a connection of the pool.
 pub type ConnectionId = u64;
 /// Identifies a waiting session: its rank (lower is served first) and its number in order of arrival.
@@ -161,32 +100,6 @@
     started_at: u64,
 }
 
-/// Time to open a connection, in microseconds; 0 before the first measurement.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct OpenTime {
-    average_us: u64,
-    shortest_us: u64,
-}
-
-impl OpenTime {
-    fn record(&mut self, took_ms: u64) {
-        let took_us = took_ms.clamp(1, MAX_OPEN_MS) * 1_000;
-        if self.average_us == 0 {
-            self.average_us = took_us;
-            self.shortest_us = took_us.min(MAX_SHORTEST_MS * 1_000);
-            return;
-        }
-        self.average_us = (self.average_us * (SMOOTHING - 1) + took_us) / SMOOTHING;
-        let rising_us = self.shortest_us + self.queueing_us() / SHORTEST_RISE;
-        self.shortest_us = rising_us.min(took_us);
-    }
-
-    /// Estimated time that an opening queues at the member.
-    fn queueing_us(self) -> u64 {
-        self.average_us.saturating_sub(self.shortest_us)
-    }
-}
-
 /// Connections of one host to one member, and the sessions that wait for them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Connections {
@@ -225,20 +138,10 @@
         self.capacity = capacity.into();
     }
 
-    /// Time after which an idle connection is closed, in milliseconds; `None` if it is kept. It is so
-    /// short that the idle connections of all hosts take a part of what the member accepts, if the others
-    /// use it as much as this host does.
+    /// Time after which an idle connection is closed, in milliseconds; `None` if it is kept.
     pub fn linger_ms(&mut self, now: u64) -> Option<u64> {
-        let fleet = self.capacity.fleet?;
-        let (shortest, longest) = LINGER_MS;
-        let uses = self.total_usage.weight(now, HALF_LIFE_MS) * fleet.hosts;
-        let spared = fleet.connections * Usage::one_use() * HALF_LIFE_MS / IDLE_PART;
-        Some(
-            spared
-                .checked_div(uses)
-                .unwrap_or(longest)
-                .clamp(shortest, longest),
-        )
+        let uses = self.total_usage.weight(now, HALF_LIFE_MS);
+        Some(self.capacity.fleet?.linger_ms(uses, HALF_LIFE_MS))
     }
 
     /// Removes the connections that have been idle for too long, for the caller to close.
--- a/crates/hemlockcrank_core/src/consensus/node/replication.rs
+++ b/crates/hemlockcrank_core/src/consensus/node/replication.rs
@@ -4,6 +4,29 @@
     DurableChange, Entry, Id, Message, Node, Output, Payload, Progress, Role, SharedBytes, Snapshot,
 };
 
+/// Pause after which entries are sent again to a member that has not confirmed them, in milliseconds.
+const RESEND_MS: u64 = 300;
+/// The same for a snapshot, which takes longer to send and to store.
+const INSTALL_MS: u64 = 1_000;
+/// Size of the commands in one message after which no further entry is added, in bytes.
+const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+
+/// The first entries, up to [`MAX_MESSAGE_BYTES`], at least one.
+fn bounded(mut entries: Vec<Entry>) -> Vec<Entry> {
+    let mut bytes = 0;
+    let fitting = entries.iter().take_while(|entry| {
+        let fits = bytes < MAX_MESSAGE_BYTES;
+        bytes += match &entry.payload {
+            Payload::Command(data) => data.len(),
+            Payload::Noop | Payload::Members(_) => 0,
+        };
+        fits
+    });
+    let length = fitting.count();
+    entries.truncate(length);
+    entries
+}
+
 impl Node {
     /// Accepts the sender as the leader and returns true, unless its term is old; then replies with
     /// the newer term and returns false.
@@ -97,6 +120,7 @@
         if success {
             progress.matched = progress.matched.max(index);
             progress.next = progress.next.max(progress.matched + 1);
+            progress.resend_from = progress.matched + 1;
             let is_behind = progress.next <= self.log.last_index();
             let previous_commit = self.commit;
             self.advance_commit();
@@ -107,7 +131,8 @@
             let min_next = progress.matched + 1;
             let is_outdated = index < min_next;
             progress.next = index.clamp(min_next, (progress.next - 1).max(min_next));
-            if !is_outdated {
+            progress.resend_from = progress.next;
+            if !is_outdated && now >= progress.installing_until {
                 self.send_append(now, from.clone());
             }
         }
@@ -138,27 +163,44 @@
         }
     }
 
+    /// Sends what the member lacks and is not on its way to it yet. What was sent and not confirmed is
+    /// sent again after a pause, not with every message.
     pub(super) fn send_append(&mut self, now: u64, to: Id) {
         let Some(progress) = self.progress.get_mut(&to) else {
             return;
         };
-        let prev_index = progress.next - 1;
-        let Some(prev_term) = self.log.term_at(prev_index) else {
-            let snapshot = self.log.snapshot().clone();
-            progress.next = snapshot.index + 1;
-            let message = Message::Install {
-                term: self.term,
-                snapshot,
-                sent_at: now,
-            };
-            self.send(to, message);
-            return;
+        if progress.next > progress.resend_from && now >= progress.sent_at + RESEND_MS {
+            progress.next = progress.resend_from;
+        }
+        let snapshot = self.log.snapshot();
+        let mut prev_index = progress.next - 1;
+        if self.log.term_at(prev_index).is_none() {
+            if now >= progress.installing_until {
+                progress.next = snapshot.index + 1;
+                progress.sent_at = now;
+                progress.installing_until = now + INSTALL_MS;
+                let message = Message::Install {
+                    term: self.term,
+                    snapshot: snapshot.clone(),
+                    sent_at: now,
+                };
+                self.send(to, message);
+                return;
+            }
+            prev_index = snapshot.index;
+        }
+        let entries = match prev_index + 1 == progress.next {
+            true => bounded(self.log.range(prev_index + 1, self.timing.max_entries)),
+            false => Vec::new(),
         };
-        let entries = self.log.range(prev_index + 1, self.timing.max_entries);
+        if let Some(last) = entries.last() {
+            progress.next = last.index + 1;
+            progress.sent_at = now;
+        }
         let message = Message::Append {
             term: self.term,
             prev_index,
-            prev_term,
+            prev_term: self.log.term_at(prev_index).unwrap_or_default(),
             entries,
             commit: self.commit,
             sent_at: now,
--- a/crates/hemlockcrank_core/tests/consensus/steps.rs
+++ b/crates/hemlockcrank_core/tests/consensus/steps.rs
@@ -1,6 +1,8 @@
 //! Single scenarios of the protocol: elections, partitions and membership changes.
 
-use hemlockcrank_core::consensus::{Config, Id, Input, Message, Node, Output, Role, Timing};
+use hemlockcrank_core::consensus::{
+    Config, Id, Input, Message, Node, Output, Payload, Role, Timing,
+};
 
 use crate::cluster::{Cluster, InjectedBug};
 
@@ -183,6 +185,48 @@
     assert_eq!(voters_of_leader(&cluster), ["a", "b", "c", "d", "e"]);
 }
 
+/// A configuration followed by many announcements, with slow members: each entry goes out once, not
+/// again with every later one.
+#[test]
+fn entries_that_are_on_their_way_are_not_sent_again() {
+    let mut cluster = cluster_with_leader();
+    let large = vec![7; 200 * 1024];
+
+    cluster.propose(0, &large).expect("propose");
+    for _ in 0..100 {
+        cluster.propose(0, b"announcement").expect("propose");
+    }
+
+    let sent_to = |host: &str| -> usize {
+        let messages = cluster.network.iter().filter(|e| &*e.to.host == host);
+        messages
+            .map(|envelope| match &envelope.message {
+                Message::Append { entries, .. } => entries.len(),
+                _ => 0,
+            })
+            .sum()
+    };
+    assert_eq!((sent_to("b"), sent_to("c")), (101, 101));
+    deliver_all(&mut cluster, &[]);
+    advance(&mut cluster, 500, &[]);
+    assert!(cluster.applied.len() >= 101);
+}
+
+/// What was lost on its way is sent again, and the group goes on.
+#[test]
+fn entries_that_were_lost_are_sent_again_after_a_pause() {
+    let mut cluster = cluster_with_leader();
+    deliver_all(&mut cluster, &[]);
+    cluster.propose(0, b"lost").expect("propose");
+    cluster.network.clear();
+
+    advance(&mut cluster, 500, &[]);
+
+    let applied = cluster.applied.values();
+    let commands = applied.filter(|entry| matches!(&entry.payload, Payload::Command(_)));
+    assert_eq!(commands.count(), 1);
+}
+
 #[test]
 fn a_follower_refuses_to_vote_within_the_election_timeout() {
     let id = |name: &str| Id::new(name, 1);
--- a/crates/hemlockcrank_host/src/control/group.rs
+++ b/crates/hemlockcrank_host/src/control/group.rs
@@ -150,7 +150,8 @@
             return Ok(false);
         };
         let long = node.log().len() >= COMPACT_ENTRIES || self.log_bytes >= COMPACT_BYTES;
-        if !long || node.commit() != state.index {
+        let covered = state.index <= node.log().snapshot().index;
+        if !long || covered || node.commit() != state.index {
             return Ok(false);
         }
         let data: SharedBytes = encode(state)?.into();
