Proposals that arrive together are written together; polls without a grant back off

Hosts without a lease polled 20 times a second each. Change: proposals are collected until the mailbox has been read and written with one sync and sent in one message; what the leader's state includes already is answered without an entry; the pause between polls doubles from 50 to 400 ms. Test: consensus steps commands_that_arrive_together_are_stored_and_sent_together.

--- a/crates/hemlockcrank_core/src/consensus/membership.rs
+++ b/crates/hemlockcrank_core/src/consensus/membership.rs
@@ -27,7 +27,7 @@
             .learners
             .retain(|learner| !is_other_incarnation(learner));
         config.learners.insert(id);
-        self.append_as_leader(now, Payload::Members(config));
+        self.append_as_leader(now, vec![Payload::Members(config)]);
     }
 
     /// Adds, swaps or removes one voter, if a learner has caught up or a voter is unresponsive.
@@ -36,7 +36,7 @@
             return;
         }
         if let Some(config) = self.next_config(now) {
-            self.append_as_leader(now, Payload::Members(config));
+            self.append_as_leader(now, vec![Payload::Members(config)]);
         }
     }
 
--- a/crates/hemlockcrank_core/src/consensus/node.rs
+++ b/crates/hemlockcrank_core/src/consensus/node.rs
@@ -284,13 +284,28 @@
         &mut self,
         now: u64,
         data: SharedBytes,
+    ) -> Result<(u64, Vec<Output>), ProposeError> {
+        self.propose_all(now, vec![data])
+    }
+
+    /// Appends several commands as [`Self::propose`] does, to be stored and sent together; returns the
+    /// index of the first.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError::NotLeader`] if another node leads or there is no leader.
+    pub fn propose_all(
+        &mut self,
+        now: u64,
+        commands: Vec<SharedBytes>,
     ) -> Result<(u64, Vec<Output>), ProposeError> {
         if self.role != Role::Leader {
             return Err(ProposeError::NotLeader {
                 leader: self.leader.clone(),
             });
         }
-        let index = self.append_as_leader(now, Payload::Command(data));
+        let payloads = commands.into_iter().map(Payload::Command).collect();
+        let index = self.append_as_leader(now, payloads);
         self.apply_committed();
         Ok((index, std::mem::take(&mut self.outputs)))
     }
--- a/crates/hemlockcrank_core/src/consensus/node/election.rs
+++ b/crates/hemlockcrank_core/src/consensus/node/election.rs
@@ -46,7 +46,7 @@
         self.leader = Some(self.id.clone());
         self.progress.clear();
         self.refresh_progress(now);
-        self.append_as_leader(now, Payload::Noop);
+        self.append_as_leader(now, vec![Payload::Noop]);
     }
 
     pub(super) fn become_follower(&mut self, now: u64, term: u64, leader: Option<Id>) {
--- a/crates/hemlockcrank_core/src/consensus/node/replication.rs
+++ b/crates/hemlockcrank_core/src/consensus/node/replication.rs
@@ -138,21 +138,32 @@
         }
     }
 
-    /// Appends an entry of the current term as leader and replicates it.
-    pub(in crate::consensus) fn append_as_leader(&mut self, now: u64, payload: Payload) -> u64 {
-        let entry = Entry {
-            index: self.log.last_index() + 1,
-            term: self.term,
-            payload,
-        };
-        let index = entry.index;
+    /// Appends entries of the current term as leader and replicates them; returns the index of the
+    /// first.
+    pub(in crate::consensus) fn append_as_leader(
+        &mut self,
+        now: u64,
+        payloads: Vec<Payload>,
+    ) -> u64 {
+        let first = self.log.last_index() + 1;
+        let term = self.term;
+        let entries: Vec<Entry> = (first..)
+            .zip(payloads)
+            .map(|(index, payload)| Entry {
+                index,
+                term,
+                payload,
+            })
+            .collect();
         self.outputs
-            .push(Output::Persist(DurableChange::Entries(vec![entry.clone()])));
-        self.log.append(entry);
+            .push(Output::Persist(DurableChange::Entries(entries.clone())));
+        for entry in entries {
+            self.log.append(entry);
+        }
         self.refresh_progress(now);
         self.broadcast(now);
         self.advance_commit();
-        index
+        first
     }
 
     pub(super) fn broadcast(&mut self, now: u64) {
--- a/crates/hemlockcrank_core/src/state.rs
+++ b/crates/hemlockcrank_core/src/state.rs
@@ -114,6 +114,16 @@
         }
     }
 
+    /// Whether a command would change nothing because the state includes it already. Others, which
+    /// may change something, are not examined.
+    pub fn includes(&self, command: &Command) -> bool {
+        match command {
+            Command::Catalog(catalog) => !catalog.supersedes(&self.catalog),
+            Command::Group(Edit::Announce(notice)) => !self.groups.changes_member(notice),
+            _ => false,
+        }
+    }
+
     fn run(&mut self, index: u64, command: &Command) -> Reply {
         match command {
             Command::Change(change) => {
--- a/crates/hemlockcrank_core/tests/consensus/steps.rs
+++ b/crates/hemlockcrank_core/tests/consensus/steps.rs
@@ -212,6 +212,21 @@
     assert!(cluster.applied.len() >= 101);
 }
 
+/// Many members announce themselves at once: their entries are stored and sent together.
+#[test]
+fn commands_that_arrive_together_are_stored_and_sent_together() {
+    let mut cluster = cluster_with_leader();
+    let now = cluster.now;
+    let commands = (0..50).map(|_| (*b"announcement").into()).collect();
+    let node = cluster.hosts[0].node.as_mut().expect("node");
+
+    let (_, outputs) = node.propose_all(now, commands).expect("the leader");
+
+    let writes = outputs.iter().filter(|o| matches!(o, Output::Persist(_)));
+    let sends = outputs.iter().filter(|o| matches!(o, Output::Send(_)));
+    assert_eq!((writes.count(), sends.count()), (1, 2));
+}
+
 /// What was lost on its way is sent again, and the group goes on.
 #[test]
 fn entries_that_were_lost_are_sent_again_after_a_pause() {
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -38,7 +38,7 @@
     HostState, Status,
     bootstrap::Bootstrap,
     coordinator::{Callbacks, Coordinator},
-    group::{Group, reply, state_of},
+    group::{Group, Proposal, reply, state_of},
     poller::Poller,
     supervisor::Supervisor,
 };
@@ -69,6 +69,8 @@
 pub(crate) enum Message {
     /// The tick interval has passed.
     Tick,
+    /// All proposals that arrived before this message are to be written.
+    Flush,
     /// A call from a peer.
     Call(Request, RpcReplyPort<Response>),
     /// A host answered whether it has a group, and which.
@@ -149,6 +151,8 @@
     followers: Followers,
     /// Division of connections between them.
     division: Division,
+    /// Commands to write with the next [`Message::Flush`].
+    proposals: Vec<Proposal>,
     /// Hosts to add to the view, at the leader.
     pending_up: BTreeMap<Name, Host>,
     long_polls: Vec<LongPoll>,
@@ -232,6 +236,7 @@
             poller: Poller::default(),
             followers: Followers::default(),
             division: Division::default(),
+            proposals: Vec::new(),
             pending_up: BTreeMap::new(),
             long_polls: Vec::new(),
             supervisor: None,
@@ -252,6 +257,7 @@
     fn handle_message(&mut self, message: Message) -> Result<(), JournalError> {
         match message {
             Message::Tick => self.tick()?,
+            Message::Flush => self.flush_proposals()?,
             Message::Call(request, port) => self.handle_call(request, port)?,
             Message::FormationAnswered(from, formation) => self.note_formation(&from, formation)?,
             Message::PollAnswered {
@@ -326,7 +332,7 @@
             Request::Fetch(fetch) => self.receive_poll(fetch, port),
             Request::Propose(command) => {
                 let (answer, committed) = ractor::concurrency::oneshot();
-                self.propose(&command, Some(answer.into()))?;
+                self.propose(command, Some(answer.into()));
                 tokio::spawn(async move {
                     let answer = committed.await.unwrap_or(ProposeReply::Unknown);
                     reply(port, Response::Proposed(answer));
--- a/crates/hemlockcrank_host/src/control/actor/leadership.rs
+++ b/crates/hemlockcrank_host/src/control/actor/leadership.rs
@@ -5,16 +5,16 @@
 use hemlockcrank_core::{
     consensus::{Id, Role},
     relay::Followers,
-    state::Command,
+    state::{Command, Reply},
 };
 use hemlockcrank_wire::ProposeReply;
 
-use super::ActorState;
+use super::{ActorState, Message};
 use crate::{
     clock::now_ms,
     control::{
         coordinator::Coordinator,
-        group::{Group, ReplyPort, reply},
+        group::{Group, Proposal, ReplyPort, reply},
         supervisor::Supervisor,
     },
     event::Event,
@@ -98,7 +98,7 @@
             commands.push(Command::Hosts { up, down });
         }
         for command in commands {
-            self.propose(&command, None)?;
+            self.propose(command, None);
         }
         self.run_successions(now)
     }
@@ -112,21 +112,42 @@
         applied_all && lease_until.is_some_and(|until| now < until)
     }
 
-    /// Proposes a command; without a port the outcome is dropped.
-    pub(super) fn propose(
-        &mut self,
-        command: &Command,
-        port: Option<ReplyPort>,
-    ) -> Result<(), JournalError> {
-        let Some(group) = &mut self.group else {
+    /// Proposes a command; without a port the outcome is dropped. Proposals that arrive together are
+    /// written together, see [`Self::flush_proposals`].
+    pub(super) fn propose(&mut self, command: Command, port: Option<ReplyPort>) {
+        if self.group.is_none() {
             if let Some(port) = port {
                 let leader = self.poller.leader().cloned();
                 reply(port, ProposeReply::NotLeader { leader });
             }
+            return;
+        }
+        let port = port.unwrap_or_else(|| ractor::concurrency::oneshot().0.into());
+        if self.proposals.is_empty() {
+            let _ = self.myself.cast(Message::Flush);
+        }
+        self.proposals.push(Proposal { command, port });
+    }
+
+    /// Writes all proposals that have arrived. Those that the leader's state already includes are
+    /// answered without an entry.
+    pub(super) fn flush_proposals(&mut self) -> Result<(), JournalError> {
+        let proposals = std::mem::take(&mut self.proposals);
+        let leads = self.leads(now_ms());
+        let (included, proposals): (Vec<_>, Vec<_>) = proposals
+            .into_iter()
+            .partition(|proposal| leads && self.state.includes(&proposal.command));
+        for proposal in included {
+            let answer = ProposeReply::Applied {
+                reply: Reply::Stale,
+                index: self.state.index,
+            };
+            reply(proposal.port, answer);
+        }
+        let Some(group) = self.group.as_mut().filter(|_| !proposals.is_empty()) else {
             return Ok(());
         };
-        let port = port.unwrap_or_else(|| ractor::concurrency::oneshot().0.into());
-        let effects = group.propose(command, port)?;
+        let effects = group.propose(proposals)?;
         self.apply_effects(effects);
         Ok(())
     }
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -65,7 +65,7 @@
             orders.extend(new_orders.into_iter().map(|order| (service.clone(), order)));
         }
         for (service, order) in orders {
-            self.execute_order(&service, order)?;
+            self.execute_order(&service, order);
         }
         Ok(())
     }
@@ -145,17 +145,11 @@
         }
     }
 
-    fn execute_order(&mut self, service: &Name, order: Order) -> Result<(), JournalError> {
+    fn execute_order(&mut self, service: &Name, order: Order) {
         match order {
-            Order::Commit(edit) => self.propose(&Command::Group(edit), None),
-            Order::Promote(member) => {
-                self.request_promotion(service, &member);
-                Ok(())
-            }
-            order => {
-                self.send_order(service, order);
-                Ok(())
-            }
+            Order::Commit(edit) => self.propose(Command::Group(edit), None),
+            Order::Promote(member) => self.request_promotion(service, &member),
+            order => self.send_order(service, order),
         }
     }
 
--- a/crates/hemlockcrank_host/src/control/group.rs
+++ b/crates/hemlockcrank_host/src/control/group.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use hemlockcrank_core::{
+    Name,
     consensus::{
         Config, DurableChange, DurableState, Entry, Envelope, Id, Input, Node, Output, Payload,
         SharedBytes, Snapshot, Timing,
@@ -33,6 +34,13 @@
     pub(crate) restored: Option<Snapshot>,
 }
 
+/// A command to commit, and where its outcome goes.
+#[derive(Debug)]
+pub(crate) struct Proposal {
+    pub(crate) command: Command,
+    pub(crate) port: ReplyPort,
+}
+
 /// Consensus node, its journal and the pending proposals.
 pub(crate) struct Group {
     journal: Journal,
@@ -98,26 +106,28 @@
         self.process_outputs(outputs)
     }
 
-    /// Proposes a command; the port is answered when its entry is applied or another entry has its
-    /// index.
-    pub(crate) fn propose(
-        &mut self,
-        command: &Command,
-        port: ReplyPort,
-    ) -> Result<Effects, JournalError> {
+    /// Proposes commands, which are written to the journal together. Each port is answered when its
+    /// entry is applied or another entry has its index.
+    pub(crate) fn propose(&mut self, proposals: Vec<Proposal>) -> Result<Effects, JournalError> {
         let Some(node) = &mut self.node else {
-            reply(port, ProposeReply::NotLeader { leader: None });
+            refuse(proposals, None);
             return Ok(Effects::default());
         };
-        let data: SharedBytes = encode(command)?.into();
-        match node.propose(now_ms(), data) {
-            Ok((index, outputs)) => {
-                self.pending.insert(index, (node.term(), port));
+        let mut commands: Vec<SharedBytes> = Vec::new();
+        for proposal in &proposals {
+            commands.push(encode(&proposal.command)?.into());
+        }
+        match node.propose_all(now_ms(), commands) {
+            Ok((first, outputs)) => {
+                let term = node.term();
+                for (index, proposal) in (first..).zip(proposals) {
+                    self.pending.insert(index, (term, proposal.port));
+                }
                 self.process_outputs(outputs)
             }
             Err(_) => {
                 let leader = node.leader().map(|id| id.host.clone());
-                reply(port, ProposeReply::NotLeader { leader });
+                refuse(proposals, leader);
                 Ok(Effects::default())
             }
         }
@@ -200,6 +210,14 @@
     }
 }
 
+/// Answers proposals that were not written because this host does not lead.
+fn refuse(proposals: Vec<Proposal>, leader: Option<Name>) {
+    for proposal in proposals {
+        let leader = leader.clone();
+        reply(proposal.port, ProposeReply::NotLeader { leader });
+    }
+}
+
 fn command_bytes(change: &DurableChange) -> usize {
     let DurableChange::Entries(entries) = change else {
         return 0;
--- a/crates/hemlockcrank_host/src/control/poller.rs
+++ b/crates/hemlockcrank_host/src/control/poller.rs
@@ -8,8 +8,11 @@
     membership::HostId,
 };
 
-/// Pause after a poll that failed or was redirected, in milliseconds.
+/// Pause after the first poll that failed or was redirected, in milliseconds; it doubles with each
+/// further one, [`MAX_DOUBLINGS`] times.
 const RETRY_MS: u64 = 50;
+/// Largest number of doublings of the pause.
+const MAX_DOUBLINGS: u32 = 3;
 /// Time for which a relay that did not grant a lease is not polled again, in milliseconds.
 const RELAY_PAUSE_MS: u64 = 2_000;
 
@@ -36,6 +39,8 @@
     next_address: usize,
     in_flight: bool,
     next_poll_at: u64,
+    /// Polls without a grant since the last one that had one.
+    failures: u32,
     relay_paused_until: u64,
 }
 
@@ -88,7 +93,8 @@
     pub(crate) fn note_failure(&mut self, now: u64) {
         self.in_flight = false;
         self.parent = None;
-        self.next_poll_at = now + RETRY_MS;
+        self.next_poll_at = now + (RETRY_MS << self.failures.min(MAX_DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
         self.relay_paused_until = now + RELAY_PAUSE_MS;
     }
 
@@ -111,6 +117,7 @@
         listed: BTreeSet<HostId>,
     ) {
         self.in_flight = false;
+        self.failures = 0;
         self.pending_grant = Some(Grant {
             index,
             asked_at,
