Hosts report the services that they use, and samples that reads can use, no others

Cause: every host reported every service with each poll, every answer carried a sample of every service, and connections were divided also where the division isn't used: with 200 services several KB each way, 4 to 10 times a second. Change: nothing to report, nothing sent; a host that has not reported within 3 s of a leadership counts as having used nothing; no division where a member accepts fewer than two connections for each host. Test: core following load::what_nobody_uses_is_not_reported.

--- a/crates/hemlockcrank_core/src/floor.rs
+++ b/crates/hemlockcrank_core/src/floor.rs
@@ -87,6 +87,12 @@
         fresh.next().map(|sample| sample.position)
     }
 
+    /// Newest sample, with its term, if reads can still use it.
+    pub fn newest_usable(&self, now: u64) -> Option<(u64, Sample)> {
+        self.newest()
+            .filter(|(_, sample)| now < sample.at + SAMPLE_MAX_AGE_MS)
+    }
+
     /// Newest sample, with its term.
     pub fn newest(&self) -> Option<(u64, Sample)> {
         self.samples.back().map(|sample| (self.term, *sample))
--- a/crates/hemlockcrank_core/src/observation.rs
+++ b/crates/hemlockcrank_core/src/observation.rs
@@ -57,6 +57,13 @@
 }
 
 impl Observation {
+    /// Whether the host has not used the primary at all, so that there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        let never_used = self.failing_ms.is_none() && self.served_ms.is_none();
+        let nothing_seen = self.sample.is_none() && self.acknowledged == Position::default();
+        never_used && nothing_seen && self.released.is_none() && self.operations == 0
+    }
+
     /// The part that concerns this host alone.
     pub fn to_use(&self) -> Use {
         Use {
@@ -109,10 +116,10 @@
         }
     }
 
-    /// Recent operations at each host that has reported an observation of the service.
-    pub fn operations(&self, service: &str) -> impl Iterator<Item = (Name, u64)> {
-        let hosts = self.uses.get(service).into_iter().flatten();
-        hosts.map(|(host, used)| (host.clone(), used.operations))
+    /// Recent operations at a host; `None` if it has not reported an observation of the service.
+    pub fn operations(&self, service: &str, host: &str) -> Option<u64> {
+        let used = self.uses.get(service)?.get(host)?;
+        Some(used.operations)
     }
 
     /// Records what a host that follows through a relay uses.
@@ -203,11 +210,11 @@
         }
     }
 
-    /// Newest sample of each service, with its term.
-    pub fn newest_samples(&self) -> impl Iterator<Item = (&Name, u64, Sample)> {
+    /// Newest sample of each service, with its term, if reads can still use it.
+    pub fn newest_samples(&self, now: u64) -> impl Iterator<Item = (&Name, u64, Sample)> {
         let floors = self.floors.iter();
-        floors.filter_map(|(service, floor)| {
-            let (term, sample) = floor.newest()?;
+        floors.filter_map(move |(service, floor)| {
+            let (term, sample) = floor.newest_usable(now)?;
             Some((service, term, sample))
         })
     }
--- a/crates/hemlockcrank_core/tests/following/load.rs
+++ b/crates/hemlockcrank_core/tests/following/load.rs
@@ -2,7 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use hemlockcrank_core::connections::{Capacity, Connections, Fleet, Release, Take};
+use hemlockcrank_core::{
+    connections::{Capacity, Connections, Fleet, Release, Take},
+    floor::{Floor, Sample},
+    observation::Observation,
+    session::Position,
+};
 use rand_chacha::{
     ChaCha8Rng,
     rand_core::{Rng, SeedableRng},
@@ -91,3 +96,31 @@
     assert!(connections.take_idle(1_000_000).is_empty());
     assert_eq!(Capacity::new(fleet, None).connections, 5);
 }
+
+/// Pattern: a site with many services of which a host uses few. It reports those alone, and carries no
+/// samples that are too old for any read.
+#[test]
+fn what_nobody_uses_is_not_reported() {
+    let used = |operations, acknowledged| Observation {
+        service: "ledger".into(),
+        term: 1,
+        failing_ms: None,
+        served_ms: None,
+        acknowledged,
+        released: None,
+        operations,
+        sample: None,
+    };
+    let mut floor = Floor::default();
+    let sample = Sample {
+        at: 1_000,
+        position: Position::new(1, 4),
+    };
+    floor.add(1, sample);
+
+    assert!(used(0, Position::default()).is_empty());
+    assert!(!used(16, Position::default()).is_empty());
+    assert!(!used(0, Position::new(1, 4)).is_empty());
+    assert_eq!(floor.newest_usable(5_000), Some((1, sample)));
+    assert_eq!(floor.newest_usable(7_000), None);
+}
--- a/crates/hemlockcrank_core/tests/site.rs
+++ b/crates/hemlockcrank_core/tests/site.rs
@@ -393,8 +393,8 @@
     current.sample = Some((2, sample(600, 9)));
 
     observations.record(1_000, &"h1".into(), vec![old]);
-    assert_eq!(observations.newest_samples().count(), 0);
+    assert_eq!(observations.newest_samples(60).count(), 0);
     observations.record(1_000, &"h1".into(), vec![current]);
 
-    assert_eq!(observations.newest_samples().count(), 1);
+    assert_eq!(observations.newest_samples(60).count(), 1);
 }
--- a/crates/hemlockcrank_host/src/control/actor/leadership.rs
+++ b/crates/hemlockcrank_host/src/control/actor/leadership.rs
@@ -60,7 +60,10 @@
                 self.followers = Followers::default();
                 self.pending_up.clear();
                 self.supervisor = Some(Supervisor::begin(now_ms(), &self.state));
-                self.coordinator = self.callbacks.as_ref().map(|_| Coordinator::new(term));
+                self.coordinator = self
+                    .callbacks
+                    .as_ref()
+                    .map(|_| Coordinator::new(term, now_ms()));
             }
             (false, true) => {
                 self.supervisor = None;
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -126,15 +126,16 @@
             return LeaderStatus::default();
         };
         coordinator.divide_connections(now, &self.state);
-        let samples = coordinator
-            .observations
-            .newest_samples()
-            .map(|(service, term, sample)| PositionSample {
-                service: service.clone(),
-                term,
-                position: sample.position,
-                age_ms: now.saturating_sub(sample.at),
-            });
+        let samples =
+            coordinator
+                .observations
+                .newest_samples(now)
+                .map(|(service, term, sample)| PositionSample {
+                    service: service.clone(),
+                    term,
+                    position: sample.position,
+                    age_ms: now.saturating_sub(sample.at),
+                });
         LeaderStatus {
             leader_term: coordinator.term,
             clock_ms: now,
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -16,6 +16,7 @@
 
 use hemlockcrank_core::{
     Name,
+    connections::{Capacity, Fleet},
     group::Group,
     membership::View,
     observation::Observations,
@@ -32,6 +33,9 @@
 /// milliseconds.
 const VIEW_SETTLE_MS: u64 = 10_000;
 
+/// Time after the start of a leadership within which every host has reported, in milliseconds.
+const REPORTS_MS: u64 = 3_000;
+
 /// Interval at which the members' connections are divided between the hosts, in milliseconds.
 const DIVIDE_MS: u64 = 1_000;
 
@@ -96,6 +100,7 @@
 pub(crate) struct Coordinator {
     /// Term of this leadership.
     pub(crate) term: u64,
+    started_at: u64,
     pub(crate) observations: Observations,
     /// End of the leader's lease, shared with the promotions that are in flight.
     pub(crate) lease_until: Arc<AtomicU64>,
@@ -110,9 +115,10 @@
 
 impl Coordinator {
     /// Starts a leadership in `term`.
-    pub(crate) fn new(term: u64) -> Self {
+    pub(crate) fn new(term: u64, now: u64) -> Self {
         Self {
             term,
+            started_at: now,
             observations: Observations::new(term),
             lease_until: Arc::default(),
             view: Arc::default(),
@@ -134,28 +140,42 @@
         }
     }
 
-    /// Divides the members' connections of a service between the hosts once all of them have
-    /// reported the number of their recent operations on it.
+    /// Divides the members' connections between the hosts by their use, except where there are too few
+    /// for each host to keep some. Begins once all hosts have reported their use of the service, or
+    /// after [`REPORTS_MS`]; a host that has not used it by then reports nothing.
     pub(crate) fn divide_connections(&mut self, now: u64, state: &State) {
         if now < self.divided_at + DIVIDE_MS {
             return;
         }
         self.divided_at = now;
-        let hosts = state.view.serving().count();
+        let all_reported = now >= self.started_at + REPORTS_MS;
+        let hosts = state.view.serving().count() as u64;
         for (service, _) in state.groups.iter() {
             let Some(settings) = state.catalog.service(service) else {
                 continue;
             };
-            let operations: Vec<(Name, u64)> = self
-                .observations
-                .operations(service)
-                .filter(|(host, _)| state.view.serves(host))
+            let fleet = Fleet {
+                connections: u64::from(settings.connections),
+                hosts,
+            };
+            if hosts == 0 || Capacity::new(fleet, None).fleet.is_some() {
+                continue;
+            }
+            let uses: Option<Vec<(Name, u64)>> = state
+                .view
+                .serving()
+                .map(|host| {
+                    let operations = self.observations.operations(service, &host.name);
+                    let operations = operations.or(all_reported.then_some(0))?;
+                    Some((host.name.clone(), operations))
+                })
                 .collect();
-            if hosts > 0 && operations.len() == hosts {
-                let shares = self.shares.entry(service.clone()).or_default();
-                if shares.update(settings.connections, operations) {
-                    self.divisions += 1;
-                }
+            let Some(uses) = uses else {
+                continue;
+            };
+            let shares = self.shares.entry(service.clone()).or_default();
+            if shares.update(settings.connections, uses) {
+                self.divisions += 1;
             }
         }
     }
--- a/crates/hemlockcrank_host/src/control/group.rs
+++ b/crates/hemlockcrank_host/src/control/group.rs
@@ -127,7 +127,7 @@
             }
             Err(_) => {
                 let leader = node.leader().map(|id| id.host.clone());
-                refuse(proposals, leader);
+                refuse(proposals, leader.as_ref());
                 Ok(Effects::default())
             }
         }
@@ -211,9 +211,9 @@
 }
 
 /// Answers proposals that were not written because this host does not lead.
-fn refuse(proposals: Vec<Proposal>, leader: Option<Name>) {
+fn refuse(proposals: Vec<Proposal>, leader: Option<&Name>) {
     for proposal in proposals {
-        let leader = leader.clone();
+        let leader = leader.cloned();
         reply(proposal.port, ProposeReply::NotLeader { leader });
     }
 }
--- a/crates/hemlockcrank_host/src/engine/primaries.rs
+++ b/crates/hemlockcrank_host/src/engine/primaries.rs
@@ -228,7 +228,7 @@
         inner.services.get(service)?.floor.at_or_after(term, since)
     }
 
-    /// Observations to report to the control leader.
+    /// Observations to report to the control leader, of the primaries that this host has used.
     pub(crate) fn observations(&self, now: u64) -> Vec<Observation> {
         let mut inner = lock(&self.inner);
         let anchor = inner.anchor;
@@ -250,7 +250,9 @@
                 sample,
             }
         });
-        observations.collect()
+        observations
+            .filter(|observation| !observation.is_empty())
+            .collect()
     }
 
     /// What this host has learned from the leader, for hosts that follow through it: lower bounds of
@@ -261,7 +263,7 @@
             return LeaderStatus::default();
         };
         let samples = inner.services.iter().filter_map(|(service, primary)| {
-            let (term, sample) = primary.floor.newest()?;
+            let (term, sample) = primary.floor.newest_usable(now)?;
             Some(PositionSample {
                 service: service.clone(),
                 term,
