Every answer to a poll names the leader; a poll redirected to the leader is not paused longer

Change: the answer names the leader also without a platform; a failed poll forgets the leader; a redirect is followed after 50 ms, other pauses grow to 200 ms, not 400.

--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -123,7 +123,10 @@
     pub(super) fn leader_info(&mut self, fetch: &Fetch) -> LeaderStatus {
         let now = now_ms();
         let Some(coordinator) = &mut self.coordinator else {
-            return LeaderStatus::default();
+            return LeaderStatus {
+                leader: Some(self.host.name.clone()),
+                ..LeaderStatus::default()
+            };
         };
         coordinator.divide_connections(now, &self.state);
         let samples =
--- a/crates/hemlockcrank_host/src/control/poller.rs
+++ b/crates/hemlockcrank_host/src/control/poller.rs
@@ -8,11 +8,11 @@
     membership::HostId,
 };
 
-/// Pause after the first poll that failed or was redirected, in milliseconds; it doubles with each
-/// further one, [`MAX_DOUBLINGS`] times.
+/// Pause after the first poll that failed, or one that was redirected to the leader, in milliseconds;
+/// it doubles with each further failure, [`MAX_DOUBLINGS`] times.
 const RETRY_MS: u64 = 50;
 /// Largest number of doublings of the pause.
-const MAX_DOUBLINGS: u32 = 3;
+const MAX_DOUBLINGS: u32 = 2;
 /// Time for which a relay that did not grant a lease is not polled again, in milliseconds.
 const RELAY_PAUSE_MS: u64 = 2_000;
 
@@ -92,6 +92,7 @@
     /// Notes that the poll got no answer.
     pub(crate) fn note_failure(&mut self, now: u64) {
         self.in_flight = false;
+        self.leader = None;
         self.parent = None;
         self.next_poll_at = now + (RETRY_MS << self.failures.min(MAX_DOUBLINGS));
         self.failures = self.failures.saturating_add(1);
@@ -104,6 +105,7 @@
         if let Some((name, address)) = leader {
             self.leader = Some(name);
             self.parent = Some(address);
+            self.next_poll_at = now + RETRY_MS;
         }
     }
 
