--- a/crates/hemlockcrank_core/src/relay.rs
+++ b/crates/hemlockcrank_core/src/relay.rs
@@ -23,13 +23,14 @@
     observation::{Observation, Use, merge},
 };
 
-/// Number of hosts that serve callers up to which all of them follow the leader directly.
+/// Number of hosts in the view, control hosts included, up to which all of them follow the leader
+/// directly.
 pub const MAX_DIRECT_FOLLOWERS: usize = 24;
 /// Time after a host was last heard for which it is listed, in milliseconds.
 const LISTED_MS: u64 = 700;
 /// Interval between two reports of the hosts' use of the services, in milliseconds.
 const USES_INTERVAL_MS: u64 = 1_000;
-/// Longest and shortest interval between two polls of a relay, in milliseconds.
+/// Shortest and longest interval between two polls of a relay, in milliseconds.
 const POLL_INTERVAL_MS: (u64, u64) = (100, 500);
 
 /// What a relay reports of a host that follows through it.
@@ -79,10 +80,10 @@
     ) {
         let last = self.heard.get(&host.name);
         let last = last.filter(|last| last.host == host);
-        let is_urgent = is_urgent(last.map(|last| &*last.observations), &observations)
+        let urgent = is_urgent(last.map(|last| &*last.observations), &observations)
             || reports.iter().any(|report| report.suspects);
-        let uses_due = is_urgent || last.is_none_or(|last| last.uses_due);
-        self.urgent |= is_urgent;
+        let uses_due = urgent || last.is_none_or(|last| last.uses_due);
+        self.urgent |= urgent;
         let name = host.name.clone();
         let heard = Heard {
             at: now,
--- a/crates/hemlockcrank_host/src/control/actor/polling.rs
+++ b/crates/hemlockcrank_host/src/control/actor/polling.rs
@@ -1,4 +1,4 @@
-//! Polling the leader and applying its answer.
+//! Polling the leader, or a relay, and applying the answer.
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
@@ -19,7 +19,7 @@
 const RELAY_HOLD_MS: u64 = 250;
 
 impl ActorState {
-    /// Polls the leader if a poll is due. With `urgent`, sends the reports and the observations of
+    /// Polls the parent (the leader, or a relay on a large site) if a poll is due. With `urgent`, sends the reports and the observations of
     /// primaries at once and ignores the answer.
     pub(super) fn poll(&mut self, now: u64, urgent: bool) {
         if self.leaving || self.leads(now) {
@@ -62,6 +62,8 @@
         });
     }
 
+    /// The body of a poll. A relay reports what its followers have observed: it uses no primaries
+    /// itself.
     fn fetch(&mut self, now: u64, hold_ms: u64) -> Fetch {
         let mut primaries = self.primaries.observations(now);
         if !self.followers.is_empty() {
