--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -30,8 +30,6 @@
 pub(crate) const PRIMARY_RETRY_INTERVAL: Duration = Duration::from_millis(15);
 /// Longest wait for a connection to one member.
 const ACQUIRE_TIMEOUT: Duration = Duration::from_millis(150);
-/// Wait for a connection that every attempt may take, also at the end of the operation's own wait.
-const MIN_ACQUIRE_TIMEOUT: Duration = Duration::from_millis(30);
 /// Shortest time without an answer after which the read is sent to another member as well, in
 /// milliseconds.
 const MIN_HEDGE_MS: u64 = 120;
@@ -75,16 +73,6 @@
         self.time_left(now_ms()).min(ACQUIRE_TIMEOUT)
     }
 
-    /// Longest wait for a connection of an operation that is a single statement: it ends with the
-    /// operation's own wait, so that a caller that gets no connection is refused while it can still
-    /// ask another host.
-    pub(crate) fn single_acquire_timeout(&self) -> Duration {
-        let now = now_ms();
-        let wait_left = self.operation.wait_deadline().saturating_sub(now);
-        let wait_left = Duration::from_millis(wait_left).max(MIN_ACQUIRE_TIMEOUT);
-        self.acquire_timeout().min(wait_left)
-    }
-
     pub(crate) fn query(&self, after: Option<Position>) -> Query {
         Query {
             id: self.id.clone(),
@@ -291,10 +279,7 @@
         let _in_flight = choice.pool.track_in_flight();
         let acquired = choice
             .pool
-            .acquire(
-                execution.connection_request(),
-                execution.single_acquire_timeout(),
-            )
+            .acquire(execution.connection_request(), execution.acquire_timeout())
             .await;
         let mut pooled = match acquired {
             Ok(pooled) => pooled,
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -77,10 +77,7 @@
         let _in_flight = choice.pool.track_in_flight();
         let mut pooled = match choice
             .pool
-            .acquire(
-                execution.connection_request(),
-                execution.single_acquire_timeout(),
-            )
+            .acquire(execution.connection_request(), execution.acquire_timeout())
             .await
         {
             Ok(pooled) => pooled,
