--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -150,6 +150,34 @@
         /// Whether members in the zone take new work.
         in_service: bool,
     },
+    /// The only member that may be promoted in a change, until another one is nominated.
+    Nominate {
+        /// Service.
+        service: Name,
+        /// Change in progress.
+        change: u64,
+        /// Member.
+        member: Name,
+        /// Member that was nominated before in this change; a nomination in place of another one is
+        /// stale.
+        previous: Option<Name>,
+    },
+    /// The platform will promote a member that was nominated in an earlier change no more.
+    Settle {
+        /// Service.
+        service: Name,
+        /// Change in which the member was nominated.
+        change: u64,
+    },
+}
+
+/// A member that the platform may have been asked to promote, and may still promote.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Nominee {
+    /// Member.
+    pub member: Name,
+    /// Change in which it was nominated.
+    pub change: u64,
 }
 
 /// All groups by service, the departed members, and the zones out of service.
@@ -158,6 +186,9 @@
     groups: OrdMap<Name, Group>,
     departed: BTreeMap<Name, Age>,
     zones_out: BTreeSet<Name>,
+    /// Latest nominated member by service, until its promotion is settled. The last field of the
+    /// state: a snapshot of an older program ends before it.
+    nominees: BTreeMap<Name, Nominee>,
 }
 
 impl Groups {
@@ -176,6 +207,19 @@
         !self.zones_out.contains(zone)
     }
 
+    /// Member nominated in the change in progress of a service.
+    pub fn nominee(&self, service: &str) -> Option<&Name> {
+        let change = self.get(service)?.change?.index;
+        let nominee = self.unsettled(service)?;
+        (nominee.change == change).then_some(&nominee.member)
+    }
+
+    /// Member nominated last, in the change in progress or an earlier one, if the platform may still
+    /// promote it.
+    pub fn unsettled(&self, service: &str) -> Option<&Nominee> {
+        self.nominees.get(service)
+    }
+
     /// Service and data of the member with that name.
     pub fn find(&self, member: &str) -> Option<(&Name, &Member)> {
         let mut groups = self.groups.iter();
@@ -245,6 +289,13 @@
                     self.zones_out.insert(zone.clone())
                 }
             }
+            Edit::Nominate {
+                service,
+                change,
+                member,
+                previous,
+            } => self.nominate(service, *change, member, previous.as_ref()),
+            Edit::Settle { service, change } => self.settle(service, *change),
         }
     }
 
@@ -315,6 +366,38 @@
         true
     }
 
+    fn nominate(
+        &mut self,
+        service: &Name,
+        change: u64,
+        member: &Name,
+        previous: Option<&Name>,
+    ) -> bool {
+        let Some(group) = self.groups.get(service) else {
+            return false;
+        };
+        let in_progress = group.change.is_some_and(|current| current.index == change);
+        let is_stale = self.nominee(service) != previous || previous == Some(member);
+        if !in_progress || is_stale || !group.members.contains_key(member) {
+            return false;
+        }
+        let nominee = Nominee {
+            member: member.clone(),
+            change,
+        };
+        self.nominees.insert(service.clone(), nominee);
+        true
+    }
+
+    fn settle(&mut self, service: &str, change: u64) -> bool {
+        let unsettled = self.unsettled(service);
+        let is_stale = unsettled.is_none_or(|nominee| nominee.change != change);
+        if is_stale || self.nominee(service).is_some() {
+            return false;
+        }
+        self.nominees.remove(service).is_some()
+    }
+
     fn finish(&mut self, service: &str, change: Option<u64>, lead: &Lead) -> bool {
         let Some(group) = self.groups.get_mut(service) else {
             return false;
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -12,14 +12,19 @@
 //!    not report counts as fenced once its lease has certainly expired.
 //! 2. The old primary is ordered to step down. In an unplanned change all other members are paused,
 //!    after which the old primary cannot have any more commits acknowledged.
-//! 3. A member is promoted that provably holds every acknowledged commit. There are three proofs:
+//! 3. A member is nominated that provably holds every acknowledged commit. There are three proofs:
 //!    the old primary has stepped down and the member has reached its last position; **all** other
 //!    members are paused and the member is the most advanced of them; or every host has reported
 //!    and the member has reached every commit that they acknowledged. Without a proof the change
 //!    waits: waiting costs availability, but a lost commit cannot be recovered.
+//!    The nomination is committed ([`Edit::Nominate`]) before the platform is asked to promote the
+//!    member. The platform may answer late or never, and may carry out a call after the answer was
+//!    given up, so no other member is promoted until the call certainly has no effect any more; this
+//!    binds later control leaders too ([`calls`]).
 //! 4. Once the member is primary and no host can act on the old term any more, [`Edit::Finish`]
 //!    grants the new term.
 
+mod calls;
 mod change;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +34,7 @@
     group::{Edit, Group, Groups, Lead},
     session::Position,
 };
+use calls::Calls;
 
 /// Interval between two orders to a member that answers, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 250;
@@ -44,7 +50,7 @@
 const MAX_UNSERVED_MS: u64 = 1_500;
 /// Consecutive unanswered polls after which a suspected primary is replaced.
 const MAX_MISSES: u32 = 2;
-/// Pause before an edit is proposed, or a promotion requested, again, in milliseconds.
+/// Pause before an edit is proposed again, in milliseconds.
 const PROPOSE_RETRY_MS: u64 = 500;
 /// Pause between the end of a change and the next planned change, in milliseconds.
 const PLANNED_CHANGE_PAUSE_MS: u64 = 500;
@@ -102,6 +108,13 @@
     pub failing_ms: Option<u64>,
 }
 
+impl<'a> Inputs<'a> {
+    /// Member nominated in the change in progress.
+    fn nominee(&self) -> Option<&'a Name> {
+        self.groups.nominee(self.service)
+    }
+}
+
 /// An action for the control leader to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -113,8 +126,8 @@
     Resume(Name),
     /// Demote a primary to a replica, for a term.
     StepDown(Name, u64),
-    /// Promote a member to primary.
-    Promote(Name),
+    /// Promote a member to primary, with a number that identifies the call.
+    Promote(Name, u64),
     /// Commit an edit.
     Commit(Edit),
 }
@@ -127,7 +140,7 @@
             | Self::Pause(member, _)
             | Self::Resume(member)
             | Self::StepDown(member, _)
-            | Self::Promote(member) => Some(member),
+            | Self::Promote(member, _) => Some(member),
             Self::Commit(_) => None,
         }
     }
@@ -140,7 +153,9 @@
     Accepted,
     /// The member is not running.
     NotRunning,
-    /// No clear answer.
+    /// The call was not carried out and never will be.
+    NotSent,
+    /// No clear answer: the call may be carried out at any later time.
     Unknown,
 }
 
@@ -184,9 +199,11 @@
     final_asked_at: u64,
     /// Member that is becoming the primary, and when its promotion was accepted.
     promoted: Option<(Name, u64)>,
+    /// Members that may be paused.
     to_resume: BTreeSet<Name>,
-    proposed_at: Option<u64>,
-    promote_sent_at: Option<u64>,
+    /// The latest proposal, and when it was made.
+    proposed: Option<(u64, Edit)>,
+    calls: Calls,
     waiting_since: Option<u64>,
     next_planned_at: u64,
     /// Log index of the latest departure of a member, and when it was first seen here.
@@ -195,15 +212,15 @@
 }
 
 impl Succession {
-    /// Initial state of a new control leader. Without a change in progress it resumes all members,
-    /// because an earlier leader may have paused them.
-    pub fn new(group: &Group) -> Self {
-        let to_resume = match group.change {
-            None => group.members.keys().cloned().collect(),
-            Some(_) => BTreeSet::new(),
-        };
+    /// Initial state of a new control leader. It resumes all members once no change is in progress,
+    /// because an earlier leader may have paused them, and takes calls of earlier leaders into
+    /// account that may still be carried out.
+    pub fn new(now: u64, groups: &Groups, service: &str) -> Self {
+        let members = groups.get(service).map(|group| group.members.keys());
+        let unsettled = groups.unsettled(service);
         Self {
-            to_resume,
+            to_resume: members.into_iter().flatten().cloned().collect(),
+            calls: Calls::new(now, unsettled),
             ..Self::default()
         }
     }
@@ -218,7 +235,7 @@
         self.to_resume
             .retain(|member| group.members.contains_key(member));
         if group.change.map(|change| change.index) != self.change {
-            self.reset(now, group);
+            self.reset(now, inputs);
         }
         match (group.change, &group.lead) {
             (Some(change), _) => self.run_change(now, inputs, change),
@@ -251,9 +268,6 @@
             Order::Resume(_) => {
                 self.to_resume.remove(member);
             }
-            Order::Pause(..) => {
-                self.to_resume.insert(member.clone());
-            }
             Order::StepDown(..) if !row.primary && self.outgoing.as_ref() == Some(member) => {
                 self.final_position = Some(row.received);
                 self.final_asked_at = asked_at;
@@ -269,29 +283,37 @@
         self.rows.insert(member.clone(), latest);
     }
 
-    /// Records the answer to a promotion call.
-    pub fn record_promotion(&mut self, now: u64, member: &Name, outcome: PromotionReply) {
-        match outcome {
-            PromotionReply::Accepted => self.promoted = Some((member.clone(), now)),
+    /// Records the answer to the promotion call with this number.
+    pub fn record_promotion(&mut self, now: u64, call: u64, reply: PromotionReply) {
+        let Some(call) = self.calls.record(call, self.change, reply) else {
+            return;
+        };
+        if call.change != self.change {
+            return;
+        }
+        match reply {
+            PromotionReply::Accepted => self.promoted = Some((call.member, now)),
             PromotionReply::NotRunning => {
                 self.promoted = None;
-                self.rows.remove(member);
+                self.rows.remove(&call.member);
             }
-            PromotionReply::Unknown => {}
+            PromotionReply::NotSent | PromotionReply::Unknown => {}
         }
     }
 
-    /// Clears the state of the previous change when a change begins or ends, except `to_resume`.
-    fn reset(&mut self, now: u64, group: &Group) {
-        self.change = group.change.map(|change| change.index);
+    /// Clears the state of the previous change when a change begins or ends, except the members to
+    /// resume and the promotion calls that are not settled.
+    fn reset(&mut self, now: u64, inputs: &Inputs<'_>) {
+        self.change = inputs.group.change.map(|change| change.index);
         self.began_at = now;
         self.rows.clear();
         self.polling.clear();
         self.outgoing = None;
         self.final_position = None;
         self.promoted = None;
-        self.proposed_at = None;
-        self.promote_sent_at = None;
+        self.proposed = None;
+        let primary = inputs.group.lead.as_ref().map(|lead| &lead.member);
+        self.calls.begin(primary);
         self.next_planned_at = now + PLANNED_CHANGE_PAUSE_MS;
     }
 
@@ -351,7 +373,8 @@
         let has_successor = others
             .clone()
             .any(|(_, member)| inputs.groups.accepts_work(member));
-        if !inputs.groups.accepts_work(primary) && has_successor && now >= self.next_planned_at {
+        let may_begin_planned = now >= self.next_planned_at && self.calls.all_settled(now);
+        if !inputs.groups.accepts_work(primary) && has_successor && may_begin_planned {
             return self.begin(now, inputs, lead.term, true);
         }
         let mut orders = Vec::new();
@@ -359,6 +382,7 @@
         for member in may_be_paused {
             orders.extend(self.send(now, false, Order::Resume(member)));
         }
+        orders.extend(self.settle(now, inputs));
         let Some(failing_ms) = inputs.failing_ms else {
             self.rows.remove(&lead.member);
             if let Some(polling) = self.polling.get_mut(&lead.member) {
@@ -384,6 +408,19 @@
     // ---------------------------------------------------------------------------------------------
     // Orders
 
+    /// Commits that the latest promotion is settled, once all calls are.
+    fn settle(&mut self, now: u64, inputs: &Inputs<'_>) -> Vec<Order> {
+        let unsettled = inputs.groups.unsettled(inputs.service);
+        let Some(nominee) = unsettled.filter(|_| self.calls.all_settled(now)) else {
+            return Vec::new();
+        };
+        let edit = Edit::Settle {
+            service: inputs.service.clone(),
+            change: nominee.change,
+        };
+        self.propose(now, edit)
+    }
+
     fn begin(&mut self, now: u64, inputs: &Inputs<'_>, term: u64, planned: bool) -> Vec<Order> {
         let edit = Edit::Begin {
             service: inputs.service.clone(),
@@ -393,15 +430,16 @@
         self.propose(now, edit)
     }
 
-    /// Commits `edit`, unless an edit was proposed a short time ago.
+    /// Commits `edit`, unless the same edit was proposed a short time ago.
     fn propose(&mut self, now: u64, edit: Edit) -> Vec<Order> {
         let may_propose = self
-            .proposed_at
-            .is_none_or(|at| now >= at + PROPOSE_RETRY_MS);
+            .proposed
+            .as_ref()
+            .is_none_or(|(at, last)| *last != edit || now >= at + PROPOSE_RETRY_MS);
         if !may_propose {
             return Vec::new();
         }
-        self.proposed_at = Some(now);
+        self.proposed = Some((now, edit.clone()));
         vec![Order::Commit(edit)]
     }
 
@@ -418,6 +456,10 @@
         polling.in_flight = true;
         polling.asked_at = now;
         polling.fenced = fenced;
+        if let Order::Pause(member, _) = &order {
+            // Even without an answer the member may be paused.
+            self.to_resume.insert(member.clone());
+        }
         Some(order)
     }
 }
--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -1,7 +1,7 @@
 //! The steps of a change of primary in progress: orders to members, the proof for a promotion, and
 //! the samples that reads may use meanwhile.
 
-use super::{Inputs, MemberRow, Order, PROPOSE_RETRY_MS, Succession};
+use super::{Inputs, MemberRow, Order, Succession, calls::ANSWER_WAIT_MS};
 use crate::{
     Name,
     floor::Sample,
@@ -19,8 +19,6 @@
 const DEPARTURE_SETTLE_MS: u64 = 3_000;
 /// Longest wait for a primary that may hold the only copy of such commits, in milliseconds.
 const DEPARTURE_MAX_WAIT_MS: u64 = 20_000;
-/// Longest wait for a promoted member to be primary before it is promoted again, in milliseconds.
-const PROMOTE_RETRY_MS: u64 = 1_500;
 /// Longest wait for the old primary of a planned change to finish its open transactions, in
 /// milliseconds.
 const PLANNED_MAX_WAIT_MS: u64 = 2_500;
@@ -81,7 +79,7 @@
         change: Change,
     ) -> Vec<Order> {
         let group = inputs.group;
-        self.adopt_promoted(group);
+        self.adopt_promoted(inputs);
         self.outgoing = self.old_primary(group);
         if let Some(orders) = self.follow_promotion(now, inputs, change) {
             return orders;
@@ -114,12 +112,55 @@
                 orders.extend(self.send(now, inputs.fencing.complete, order));
             }
         }
-        if let Some(candidate) = self.candidate(now, inputs, term) {
-            orders.extend(self.promote(now, candidate));
-        }
+        orders.extend(self.promote(now, inputs, change, term));
         orders
     }
 
+    /// Nominates a member, or asks the platform for the promotion of the nominated one. Another one
+    /// takes its place only if it is not running, and no call for it can be carried out any more.
+    fn promote(
+        &mut self,
+        now: u64,
+        inputs: &Inputs<'_>,
+        change: Change,
+        term: u64,
+    ) -> Option<Order> {
+        let nominee = inputs.nominee();
+        let is_gone = nominee.is_some_and(|name| {
+            !inputs.group.members.contains_key(name) || self.calls.is_not_running(name)
+        });
+        if let Some(name) = nominee.filter(|_| !is_gone) {
+            return self.call(now, inputs, term, name);
+        }
+        let candidate = self.candidate(now, inputs, term)?;
+        if nominee == Some(&candidate) {
+            self.calls.forget_not_running();
+            return self.call(now, inputs, term, &candidate);
+        }
+        if !self.calls.allow(now, &candidate) {
+            return None;
+        }
+        let edit = Edit::Nominate {
+            service: inputs.service.clone(),
+            change: change.index,
+            member: candidate,
+            previous: nominee.cloned(),
+        };
+        self.propose(now, edit).pop()
+    }
+
+    /// Asks for the promotion of the nominated member. What proved that it holds every acknowledged
+    /// commit must still hold, or no host can acknowledge anything more.
+    fn call(&mut self, now: u64, inputs: &Inputs<'_>, term: u64, nominee: &Name) -> Option<Order> {
+        let mut eligible = self.eligible(now, inputs, term).into_iter();
+        let holds = inputs.fencing.complete || eligible.any(|(name, _)| name == nominee);
+        let number = match holds {
+            true => self.calls.send(now, nominee, self.change)?,
+            false => return None,
+        };
+        Some(Order::Promote(nominee.clone(), number))
+    }
+
     /// The primary of the old term, also after a restart under another name.
     fn old_primary(&self, group: &Group) -> Option<Name> {
         let lead = group.lead.as_ref()?;
@@ -135,16 +176,21 @@
 
     /// Continues the promotion of a member by an earlier control leader. That is safe: only control
     /// leaders promote members, and only with a proof.
-    fn adopt_promoted(&mut self, group: &Group) {
+    fn adopt_promoted(&mut self, inputs: &Inputs<'_>) {
+        let group = inputs.group;
         let old_term = group.lead.as_ref().map_or(0, |lead| lead.term);
-        let mut others = self.rows.iter().filter(|(name, _)| !group.is_primary(name));
-        let primary = others.find(|(_, latest)| latest.row.primary && latest.row.term > old_term);
+        let may_be_adopted = |name: &Name| match inputs.nominee() {
+            Some(nominee) => name == nominee,
+            None => !group.is_primary(name),
+        };
+        let mut rows = self.rows.iter().filter(|(name, _)| may_be_adopted(name));
+        let primary = rows.find(|(_, latest)| latest.row.primary && latest.row.term > old_term);
         if let Some((name, latest)) = primary.filter(|_| self.promoted.is_none()) {
             self.promoted = Some((name.clone(), latest.received_at));
         }
     }
 
-    /// Follows a promoted member until it is primary and all hosts are fenced off from the old
+    /// Follows the nominated member until it is primary and all hosts are fenced off from the old
     /// term; `None` when no promotion is in progress.
     fn follow_promotion(
         &mut self,
@@ -152,7 +198,15 @@
         inputs: &Inputs<'_>,
         change: Change,
     ) -> Option<Vec<Order>> {
-        let (member, at) = self.promoted.clone()?;
+        let Some((member, at)) = self.promoted.clone() else {
+            let awaited = self.calls.awaits(now, self.change);
+            let order = Order::Look(inputs.nominee().filter(|_| awaited)?.clone());
+            return Some(Vec::from_iter(self.send(
+                now,
+                inputs.fencing.complete,
+                order,
+            )));
+        };
         let old_term = inputs.group.lead.as_ref().map_or(0, |lead| lead.term);
         let latest = self
             .rows
@@ -174,15 +228,12 @@
             };
             return Some(self.propose(now, edit));
         }
-        if now >= at + PROMOTE_RETRY_MS || !inputs.group.members.contains_key(&member) {
+        if now >= at + ANSWER_WAIT_MS || !inputs.group.members.contains_key(&member) {
             self.promoted = None;
             return None;
         }
-        Some(
-            self.send(now, inputs.fencing.complete, Order::Look(member))
-                .into_iter()
-                .collect(),
-        )
+        let order = self.send(now, inputs.fencing.complete, Order::Look(member));
+        Some(Vec::from_iter(order))
     }
 
     /// Whether the present members hold every commit acknowledged in this term. The log of a member
@@ -199,6 +250,20 @@
 
     /// The best member that provably holds every acknowledged commit; `None` without a proof.
     fn candidate(&self, now: u64, inputs: &Inputs<'_>, term: u64) -> Option<Name> {
+        let accepts_work = |name: &Name| {
+            let member = inputs.group.members.get(name);
+            member.is_some_and(|member| inputs.groups.accepts_work(member))
+        };
+        let eligible = self.eligible(now, inputs, term).into_iter();
+        let best = eligible.max_by_key(|(name, latest)| (accepts_work(name), latest.row.received));
+        if let Some((name, _)) = best {
+            return Some(name.clone());
+        }
+        self.fall_back_to_old_primary(now, inputs)
+    }
+
+    /// The members that provably hold every acknowledged commit, other than the old primary.
+    fn eligible(&self, now: u64, inputs: &Inputs<'_>, term: u64) -> Vec<(&Name, &MemberRow)> {
         let group = inputs.group;
         let acknowledged = inputs.fencing.acknowledged;
         let others = others(group);
@@ -228,17 +293,9 @@
                 None => inputs.fencing.confirmed && latest.fenced,
             }
         };
-        let eligible = rows.iter().filter(|(_, latest)| holds_all(latest));
-        let accepts_work = |name: &Name| {
-            let member = group.members.get(name);
-            member.is_some_and(|member| inputs.groups.accepts_work(member))
-        };
-        let best_eligible =
-            eligible.max_by_key(|(name, latest)| (accepts_work(name), latest.row.received));
-        if let Some((name, _)) = best_eligible {
-            return Some((*name).clone());
-        }
-        self.fall_back_to_old_primary(now, inputs)
+        rows.into_iter()
+            .filter(|(_, latest)| holds_all(latest))
+            .collect()
     }
 
     /// The old primary itself, if it has stepped down and no other member reached its position in
@@ -251,16 +308,6 @@
         (timed_out && is_member && inputs.fencing.complete).then(|| lead.member.clone())
     }
 
-    fn promote(&mut self, now: u64, member: Name) -> Option<Order> {
-        let may_send = self
-            .promote_sent_at
-            .is_none_or(|at| now >= at + PROPOSE_RETRY_MS);
-        may_send.then(|| {
-            self.promote_sent_at = Some(now);
-            Order::Promote(member)
-        })
-    }
-
     /// A term above the committed one and all that members have reported, so that members accept
     /// its orders.
     fn next_term(&self, group: &Group) -> u64 {
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -29,6 +29,8 @@
     pub(crate) down: bool,
     /// Cannot reach the control leader.
     pub(crate) cut_from_leader: bool,
+    /// Carries out orders, but its answers are lost.
+    pub(crate) loses_answers: bool,
     /// Cannot reach the other members.
     pub(crate) cut_from_members: bool,
 }
@@ -49,6 +51,28 @@
     }
 }
 
+/// A promotion call on its way through the platform.
+#[derive(Clone, Debug)]
+struct Call {
+    member: Name,
+    number: u64,
+    /// Leadership that made the call; its answer means nothing to a later one.
+    leadership: u64,
+    /// When it takes effect; `None` once it has.
+    effect_at: Option<u64>,
+    /// When it is answered; `None` if it was or never is.
+    answer_at: Option<u64>,
+}
+
+/// How the platform treats promotion calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Platform {
+    /// Time from a call to the promotion, in milliseconds.
+    pub(crate) effect_ms: u64,
+    /// Time from a call to its answer, in milliseconds; `None`: it is never answered.
+    pub(crate) answer_ms: Option<u64>,
+}
+
 /// The group, its single host, and the control leader's state machine.
 #[derive(Debug)]
 pub(crate) struct Site {
@@ -63,6 +87,12 @@
     pub(crate) ignores_pauses: bool,
     /// Members run but have no free slot for orders.
     pub(crate) busy: bool,
+    /// `None`: calls take effect and are answered at once.
+    pub(crate) platform: Option<Platform>,
+    /// Members that took the lead, in this order.
+    pub(crate) promoted: Vec<Name>,
+    calls: Vec<Call>,
+    leadership: u64,
     /// Newest acknowledged commit, reported to the leader by [`Site::release`].
     newest_acknowledged: Position,
     next_commit: u64,
@@ -75,12 +105,16 @@
             now: 1_000,
             state: State::default(),
             members: BTreeMap::new(),
-            succession: Succession::new(&Group::default()),
+            succession: Succession::default(),
             fencing: Fencing::default(),
             failing_ms: None,
             acknowledged: Vec::new(),
             ignores_pauses: false,
             busy: false,
+            platform: None,
+            promoted: Vec::new(),
+            calls: Vec::new(),
+            leadership: 0,
             newest_acknowledged: Position::default(),
             next_commit: 0,
         };
@@ -140,6 +174,10 @@
         self.state.groups.get(SERVICE).expect("group")
     }
 
+    pub(crate) fn groups(&self) -> &Groups {
+        &self.state.groups
+    }
+
     pub(crate) fn lead(&self) -> &Lead {
         self.group().lead.as_ref().expect("lead")
     }
@@ -193,6 +231,12 @@
         }
     }
 
+    /// Another host leads: it knows the committed state alone.
+    pub(crate) fn change_leader(&mut self) {
+        self.succession = Succession::new(self.now, &self.state.groups, SERVICE);
+        self.leadership += 1;
+    }
+
     /// One tick of the leader. Every order is executed and answered at once, unless `is_lost`
     /// returns true for it.
     pub(crate) fn tick<F>(&mut self, mut is_lost: F)
@@ -200,6 +244,7 @@
         F: FnMut(&Order) -> bool,
     {
         self.now += TICK_MS;
+        self.run_platform();
         let groups: Groups = Groups::clone(&self.state.groups);
         let service = Name::from(SERVICE);
         let inputs = Inputs {
@@ -240,16 +285,7 @@
                     self.failing_ms = None;
                 }
             }
-            Order::Promote(member) => {
-                let member = member.clone();
-                if lost {
-                    self.succession
-                        .record_promotion(now, &member, PromotionReply::Unknown);
-                    return;
-                }
-                let outcome = self.promote(&member);
-                self.succession.record_promotion(now, &member, outcome);
-            }
+            Order::Promote(member, number) => self.ask_for_promotion(member, *number, lost),
             Order::Look(member)
             | Order::Pause(member, _)
             | Order::Resume(member)
@@ -261,7 +297,13 @@
                     .is_some_and(|target| !target.down && !target.cut_from_leader);
                 let reply = match reached && !lost {
                     true if self.busy => OrderReply::Busy,
-                    true => OrderReply::Row(self.apply_order(&member, order)),
+                    true => {
+                        let row = self.apply_order(&member, order);
+                        match self.members[&member].loses_answers {
+                            true => OrderReply::Nothing,
+                            false => OrderReply::Row(row),
+                        }
+                    }
                     false => OrderReply::Nothing,
                 };
                 self.succession.record_reply(now, &member, order, reply);
@@ -289,10 +331,61 @@
         target.row()
     }
 
+    fn ask_for_promotion(&mut self, member: &Name, number: u64, lost: bool) {
+        let now = self.now;
+        if lost {
+            let reply = PromotionReply::NotSent;
+            self.succession.record_promotion(now, number, reply);
+        } else if let Some(platform) = self.platform {
+            self.calls.push(Call {
+                member: member.clone(),
+                number,
+                leadership: self.leadership,
+                effect_at: Some(now + platform.effect_ms),
+                answer_at: platform.answer_ms.map(|after| now + after),
+            });
+        } else {
+            let reply = self.promote(member);
+            self.succession.record_promotion(now, number, reply);
+        }
+    }
+
+    /// Carries out and answers the promotion calls that are due.
+    fn run_platform(&mut self) {
+        let now = self.now;
+        let is_due = |at: Option<u64>| at.is_some_and(|at| at <= now);
+        for mut call in std::mem::take(&mut self.calls) {
+            if is_due(call.effect_at) {
+                call.effect_at = None;
+                self.promote(&call.member);
+            }
+            if is_due(call.answer_at) {
+                call.answer_at = None;
+                let reply = match self.members[&call.member].down {
+                    true => PromotionReply::NotRunning,
+                    false => PromotionReply::Accepted,
+                };
+                if call.leadership == self.leadership {
+                    self.succession.record_promotion(now, call.number, reply);
+                }
+            }
+            if call.effect_at.is_some() || call.answer_at.is_some() {
+                self.calls.push(call);
+            }
+        }
+    }
+
+    /// Promotes a member, unless it leads the newest term. No acknowledged commit may be missing in
+    /// its log.
     fn promote(&mut self, member: &Name) -> PromotionReply {
         if self.members[member].down {
             return PromotionReply::NotRunning;
         }
+        let newest = self.members.values().map(|member| member.term).max();
+        let current = &self.members[member];
+        if current.primary && Some(current.term) == newest {
+            return PromotionReply::Accepted;
+        }
         let log = &self.members[member].log;
         for commit in &self.acknowledged {
             assert!(
@@ -310,6 +403,7 @@
         target.primary = true;
         target.term = highest + 1;
         target.paused_for = 0;
+        self.promoted.push(member.clone());
         PromotionReply::Accepted
     }
 }
--- a/crates/hemlockcrank_core/tests/succession/random.rs
+++ b/crates/hemlockcrank_core/tests/succession/random.rs
@@ -9,7 +9,7 @@
 };
 use rstest::rstest;
 
-use crate::model::Site;
+use crate::model::{Platform, Site};
 
 const FAULTY_TICKS: usize = 1_200;
 const FAULT_FREE_TICKS: usize = 800;
@@ -40,6 +40,15 @@
     }
 }
 
+/// Ends the faults of all members.
+fn heal(site: &mut Site) {
+    for member in site.members.values_mut() {
+        member.down = false;
+        member.cut_from_leader = false;
+        member.cut_from_members = false;
+    }
+}
+
 fn run_host(site: &mut Site, random: &mut ChaCha8Rng) {
     let primary: Name = site.lead().member.clone();
     let others: Vec<&str> = MEMBERS
@@ -85,11 +94,7 @@
             run_host(&mut site, &mut random);
             site.tick(|_| one_in(&mut random, 8));
         }
-        for member in site.members.values_mut() {
-            member.down = false;
-            member.cut_from_leader = false;
-            member.cut_from_members = false;
-        }
+        heal(&mut site);
         for _ in 0..FAULT_FREE_TICKS {
             run_host(&mut site, &mut random);
             site.tick(|_| false);
@@ -99,3 +104,42 @@
         assert!(site.members[&lead].primary, "seed {seed}: {site:#?}");
     }
 }
+
+/// Time of the longest promotion call, in milliseconds.
+const LONGEST_CALL_MS: u32 = 4_000;
+
+/// A platform that carries out calls at any time and answers them at any other time, or never.
+fn slow_platform(random: &mut ChaCha8Rng) -> Platform {
+    let answer_ms = u64::from(random.next_u32() % LONGEST_CALL_MS);
+    Platform {
+        effect_ms: u64::from(random.next_u32() % LONGEST_CALL_MS),
+        answer_ms: (!one_in(random, 4)).then_some(answer_ms),
+    }
+}
+
+/// Guards against two promotions in one change, also by two control leaders: the model asserts at
+/// each promotion that no acknowledged commit is missing.
+#[rstest]
+fn a_platform_that_carries_out_calls_late_loses_no_commit(#[values(0, 1, 2, 3)] block: u64) {
+    for seed in block * 50..(block + 1) * 50 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut site = Site::new();
+        for _ in 0..FAULTY_TICKS {
+            if one_in(&mut random, 40) {
+                inject_fault(&mut site, &mut random);
+            }
+            if one_in(&mut random, 100) {
+                site.change_leader();
+            }
+            site.platform = Some(slow_platform(&mut random));
+            run_host(&mut site, &mut random);
+            site.tick(|_| one_in(&mut random, 12));
+        }
+        heal(&mut site);
+        for _ in 0..FAULT_FREE_TICKS {
+            run_host(&mut site, &mut random);
+            site.tick(|_| false);
+        }
+        assert_eq!(site.change(), None, "seed {seed}: {site:#?}");
+    }
+}
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -4,10 +4,10 @@
     Name,
     group::{Age, Edit, Standing},
     session::Position,
-    succession::{Order, Succession},
+    succession::Order,
 };
 
-use crate::model::Site;
+use crate::model::{Platform, Site};
 
 /// Ticks of [`TICK_MS`](crate::model::TICK_MS) in one second.
 const TICKS_PER_SECOND: usize = 40;
@@ -175,7 +175,7 @@
         "one member is promoted, and its term is not granted yet"
     );
 
-    site.succession = Succession::new(site.group());
+    site.change_leader();
     site.release(false);
     site.ticks(TICKS_PER_SECOND);
 
@@ -264,7 +264,13 @@
 
     for step in 0..4 * TICKS_PER_SECOND {
         site.tick(|_| false);
-        site.write("a", &[["b", "c"][step % 2]]);
+        let nominee = site.groups().nominee("ledger").cloned();
+        let receiver = match nominee.as_deref() {
+            Some("b") => "c",
+            Some(_) => "b",
+            None => ["b", "c"][step % 2],
+        };
+        site.write("a", &[receiver]);
     }
 }
 
@@ -297,3 +303,182 @@
 fn positions_of_a_newer_term_are_above_all_positions_of_an_older_term() {
     assert!(Position::new(2, 1) > Position::new(1, 900));
 }
+
+/// A planned change in which `c` answers its first order too late, so that `b` is the first member
+/// with a proof, and `c` would be chosen with the rows of both.
+fn begin_planned_change(site: &mut Site) {
+    site.write("a", &["b", "c"]);
+    site.commit(Edit::Zone {
+        zone: "zone-a".into(),
+        in_service: false,
+    });
+    while site.change().is_none() {
+        site.ticks(1);
+    }
+    site.release(true);
+}
+
+/// Loses the first `count` orders to `c`.
+fn loses_orders_to_c(mut count: usize) -> impl FnMut(&Order) -> bool {
+    move |order| {
+        let lost = count > 0 && order.member().is_some_and(|name| **name == *"c");
+        count -= usize::from(lost);
+        lost
+    }
+}
+
+/// Guards against two promotions in one change: the second member lacked what the first one had
+/// acknowledged.
+#[test]
+fn a_platform_that_answers_slowly_is_asked_for_one_member_alone() {
+    let mut site = Site::new();
+    site.platform = Some(Platform {
+        effect_ms: 600,
+        answer_ms: Some(600),
+    });
+    begin_planned_change(&mut site);
+
+    let mut is_lost = loses_orders_to_c(1);
+    for _ in 0..4 * TICKS_PER_SECOND {
+        site.tick(&mut is_lost);
+        if site.change().is_none() {
+            let primary = site.lead().member.clone();
+            let other = if *primary == *"b" { "c" } else { "b" };
+            site.write(&primary, &[other]);
+        }
+    }
+
+    assert_eq!(site.change(), None);
+    assert_eq!(site.promoted, ["b".into()]);
+}
+
+/// Guards against a second promotion by a new control leader while the call of the old one is still
+/// carried out.
+#[test]
+fn a_new_leader_promotes_no_other_member_than_its_predecessor_asked_for() {
+    let mut site = Site::new();
+    site.platform = Some(Platform {
+        effect_ms: 2_000,
+        answer_ms: None,
+    });
+    begin_planned_change(&mut site);
+    let mut asked = None;
+    let mut is_lost = loses_orders_to_c(1);
+    while asked.is_none() {
+        site.tick(|order| {
+            if let Order::Promote(member, _) = order {
+                asked = Some(member.clone());
+            }
+            is_lost(order)
+        });
+    }
+
+    site.change_leader();
+    site.release(true);
+    for _ in 0..8 * TICKS_PER_SECOND {
+        site.tick(|_| false);
+        if site.change().is_none() {
+            let primary = site.lead().member.clone();
+            let other = if *primary == *"b" { "c" } else { "b" };
+            site.write(&primary, &[other]);
+        }
+    }
+
+    assert_eq!(site.change(), None);
+    assert_eq!(site.promoted, [asked.expect("a call")]);
+}
+
+/// Guards against waiting for good for a nominated member that does not run any more.
+#[test]
+fn a_nominated_member_that_stops_is_replaced_once_its_call_is_answered() {
+    let mut site = Site::new();
+    site.platform = Some(Platform {
+        effect_ms: 300,
+        answer_ms: Some(100),
+    });
+    begin_planned_change(&mut site);
+    let mut asked = false;
+    while !asked {
+        site.tick(|order| {
+            asked |= matches!(order, Order::Promote(..));
+            false
+        });
+    }
+    let nominee = site.groups().nominee("ledger").expect("nominee").clone();
+
+    site.member(&nominee).down = true;
+    site.ticks(20 * TICKS_PER_SECOND);
+
+    assert_eq!(site.change(), None);
+    assert_ne!(site.lead().member, nominee);
+}
+
+/// Guards against a second promotion when the answer to the first call never comes and its member
+/// does not run for a while.
+#[test]
+fn an_unanswered_call_is_waited_out_before_another_member_is_promoted() {
+    let mut site = Site::new();
+    site.platform = Some(Platform {
+        effect_ms: 4_000,
+        answer_ms: None,
+    });
+    begin_planned_change(&mut site);
+    let mut asked = None;
+    while asked.is_none() {
+        site.tick(|order| {
+            if let Order::Promote(member, _) = order {
+                asked = Some(member.clone());
+            }
+            false
+        });
+    }
+    let first = asked.expect("a call");
+
+    site.platform = None;
+    site.member(&first).down = true;
+    site.ticks(3 * TICKS_PER_SECOND);
+    site.member(&first).down = false;
+    site.ticks(5 * TICKS_PER_SECOND);
+
+    assert_eq!(site.change(), None);
+    assert_eq!(site.promoted, [first]);
+}
+
+/// Guards against a member that stays paused for good because its answer to the order was lost.
+#[test]
+fn a_member_that_was_paused_without_an_answer_is_resumed() {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    site.member("a").down = true;
+    site.member("c").loses_answers = true;
+    site.failing_ms = Some(500);
+    site.ticks(TICKS_PER_SECOND);
+    assert!(site.members["c"].paused_for > 0);
+
+    site.release(true);
+    site.ticks(TICKS_PER_SECOND);
+    assert_eq!(&*site.lead().member, "b");
+    site.member("c").loses_answers = false;
+    site.ticks(TICKS_PER_SECOND);
+
+    assert_eq!(site.members["c"].paused_for, 0);
+}
+
+#[test]
+fn a_nomination_in_place_of_another_member_is_stale() {
+    let mut site = Site::new();
+    begin_planned_change(&mut site);
+    let change = site.change().expect("a change").index;
+    let nominate = |member: &str, previous: Option<&str>| Edit::Nominate {
+        service: "ledger".into(),
+        change,
+        member: member.into(),
+        previous: previous.map(Name::from),
+    };
+
+    site.commit(nominate("b", None));
+    site.commit(nominate("c", None));
+    site.commit(nominate("unknown", Some("b")));
+
+    assert_eq!(site.groups().nominee("ledger"), Some(&"b".into()));
+}
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -89,14 +89,15 @@
     NotifyLeader,
     /// A member answered an order, or the order failed or timed out.
     OrderAnswered {
-        service: Name,
+        ticket: Ticket,
         order: Order,
         reply: OrderReply,
     },
     /// The platform answered a request for a promotion.
     PromotionAnswered {
-        service: Name,
+        ticket: Ticket,
         member: Name,
+        number: u64,
         reply: PromotionReply,
     },
     /// This host is shutting down.
@@ -107,6 +108,17 @@
     Status(RpcReplyPort<Status>),
 }
 
+/// What an order or a promotion call belongs to. Its answer may arrive in a later change of primary
+/// or in a later leadership of this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Ticket {
+    service: Name,
+    /// Term of the leadership.
+    leadership: u64,
+    /// Change of primary in progress.
+    change: Option<u64>,
+}
+
 /// Start arguments of the actor.
 pub(crate) struct Arguments {
     pub(crate) settings: Arc<Settings>,
@@ -255,6 +267,7 @@
 
     /// Handles one message, then answers polls and publishes the resulting state.
     fn handle_message(&mut self, message: Message) -> Result<(), JournalError> {
+        let groups = Arc::clone(&self.state.groups);
         match message {
             Message::Tick => self.tick()?,
             Message::Flush => self.flush_proposals()?,
@@ -268,20 +281,25 @@
             Message::Reports(reports) => self.set_reports(reports),
             Message::NotifyLeader => self.poll(now_ms(), true),
             Message::OrderAnswered {
-                service,
+                ticket,
                 order,
                 reply,
-            } => self.note_order_reply(&service, &order, reply)?,
+            } => self.note_order_reply(&ticket, &order, reply)?,
             Message::PromotionAnswered {
-                service,
+                ticket,
                 member,
+                number,
                 reply,
-            } => self.note_promotion_reply(&service, &member, reply)?,
+            } => self.note_promotion_reply(&ticket, &member, number, reply)?,
             Message::Drain => self.draining = true,
             Message::Leave => self.leaving = true,
             Message::Status(port) => reply(port, self.status()),
         }
         self.note_role();
+        if !Arc::ptr_eq(&groups, &self.state.groups) {
+            // The next step of a change of primary follows the last one at once.
+            self.run_successions(now_ms())?;
+        }
         self.poller.note_applied(self.state.index);
         self.answer_long_polls();
         self.publish();
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -11,7 +11,7 @@
 };
 use hemlockcrank_wire::{Fetch, LeaderStatus, PositionSample};
 
-use super::{ActorState, Message};
+use super::{ActorState, Message, Ticket};
 use crate::{
     clock::now_ms,
     control::{coordinator::Dispatch, group::Group},
@@ -55,7 +55,7 @@
                 },
                 failing_ms: coordinator.observations.failing_ms(now, service, term),
             };
-            let succession = coordinator.succession(service, group);
+            let succession = coordinator.succession(service, &groups);
             let new_orders = succession.tick(now, &facts);
             let frozen = succession.outgoing_sample(now, &facts);
             let arriving = succession.incoming_sample(now, &facts);
@@ -70,9 +70,20 @@
         Ok(())
     }
 
+    /// What an order that is sent now belongs to; `None` on a host that does not lead.
+    fn ticket(&self, service: &Name) -> Option<Ticket> {
+        let group = self.state.groups.get(service)?;
+        Some(Ticket {
+            service: service.clone(),
+            leadership: self.coordinator.as_ref()?.term,
+            change: group.change.map(|change| change.index),
+        })
+    }
+
+    /// Records a member's answer. One to an order of an earlier change or leadership is logged only.
     pub(super) fn note_order_reply(
         &mut self,
-        service: &Name,
+        ticket: &Ticket,
         order: &Order,
         reply: OrderReply,
     ) -> Result<(), JournalError> {
@@ -80,39 +91,50 @@
         let Some(member) = order.member() else {
             return Ok(());
         };
+        let service = &ticket.service;
+        let is_current = self.ticket(service).as_ref() == Some(ticket);
         let groups = Arc::clone(&self.state.groups);
-        if let (Some(coordinator), Some(group)) = (&mut self.coordinator, groups.get(service)) {
-            let succession = coordinator.succession(service, group);
+        if let (Some(coordinator), true) = (&mut self.coordinator, is_current) {
+            let succession = coordinator.succession(service, &groups);
             succession.record_reply(now, member, order, reply);
         }
         let reply = format!("{reply:?}");
-        let fields: [(&str, &dyn std::fmt::Display); 4] = [
+        let fields: [(&str, &dyn std::fmt::Display); 5] = [
             ("service", service),
             ("member", member),
             ("order", &format!("{order:?}")),
             ("answer", &reply),
+            ("late", &!is_current),
         ];
         self.timeline.emit(Event::MemberAnswered, &fields);
         self.run_successions(now)
     }
 
+    /// Records the platform's answer to a call of this leadership, also if its change has ended.
     pub(super) fn note_promotion_reply(
         &mut self,
-        service: &Name,
+        ticket: &Ticket,
         member: &Name,
+        number: u64,
         reply: PromotionReply,
     ) -> Result<(), JournalError> {
         let now = now_ms();
+        let service = &ticket.service;
+        let current = self.ticket(service);
+        let same_leadership = current
+            .as_ref()
+            .is_some_and(|current| current.leadership == ticket.leadership);
         let groups = Arc::clone(&self.state.groups);
-        if let (Some(coordinator), Some(group)) = (&mut self.coordinator, groups.get(service)) {
-            coordinator
-                .succession(service, group)
-                .record_promotion(now, member, reply);
+        if let (Some(coordinator), true) = (&mut self.coordinator, same_leadership) {
+            let succession = coordinator.succession(service, &groups);
+            succession.record_promotion(now, number, reply);
         }
-        let fields: [(&str, &dyn std::fmt::Display); 3] = [
+        let fields: [(&str, &dyn std::fmt::Display); 5] = [
             ("service", service),
             ("member", member),
+            ("call", &number),
             ("outcome", &format!("{reply:?}")),
+            ("late", &(current.as_ref() != Some(ticket))),
         ];
         self.timeline.emit(Event::PromotionAnswered, &fields);
         self.run_successions(now)
@@ -152,29 +174,33 @@
     fn execute_order(&mut self, service: &Name, order: Order) {
         match order {
             Order::Commit(edit) => self.propose(Command::Group(edit), None),
-            Order::Promote(member) => self.request_promotion(service, &member),
+            Order::Promote(member, number) => self.request_promotion(service, &member, number),
             order => self.send_order(service, order),
         }
     }
 
-    fn request_promotion(&self, service: &Name, member: &Name) {
-        let (Some(callbacks), Some(coordinator)) = (&self.callbacks, &self.coordinator) else {
+    fn request_promotion(&self, service: &Name, member: &Name, number: u64) {
+        let (Some(callbacks), Some(coordinator), Some(ticket)) =
+            (&self.callbacks, &self.coordinator, self.ticket(service))
+        else {
             return;
         };
         let promotion = coordinator.promotion(service, member.clone(), self.host.name.clone());
-        let fields: [(&str, &dyn std::fmt::Display); 3] = [
+        let fields: [(&str, &dyn std::fmt::Display); 4] = [
             ("service", service),
             ("member", member),
+            ("call", &number),
             ("token", &promotion.token),
         ];
         self.timeline.emit(Event::PromotionAsked, &fields);
         let answer = (callbacks.request_promotion)(promotion);
-        let (myself, service, member) = (self.myself.clone(), service.clone(), member.clone());
+        let (myself, member) = (self.myself.clone(), member.clone());
         tokio::spawn(async move {
             let reply = answer.await;
             let _ = myself.cast(Message::PromotionAnswered {
-                service,
+                ticket,
                 member,
+                number,
                 reply,
             });
         });
@@ -184,7 +210,9 @@
         let member = order.member().cloned();
         let group = self.state.groups.get(service);
         let recorded = member.as_ref().and_then(|name| group?.members.get(name));
-        let (Some(callbacks), Some(member)) = (&self.callbacks, member) else {
+        let (Some(callbacks), Some(member), Some(ticket)) =
+            (&self.callbacks, member, self.ticket(service))
+        else {
             return;
         };
         let answer = recorded.map(|recorded| {
@@ -195,14 +223,14 @@
                 order: order.clone(),
             })
         });
-        let (myself, service) = (self.myself.clone(), service.clone());
+        let myself = self.myself.clone();
         tokio::spawn(async move {
             let reply = match answer {
                 Some(answer) => answer.await,
                 None => OrderReply::Nothing,
             };
             let _ = myself.cast(Message::OrderAnswered {
-                service,
+                ticket,
                 order,
                 reply,
             });
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -17,7 +17,7 @@
 use hemlockcrank_core::{
     Name,
     connections::{Capacity, Fleet},
-    group::Group,
+    group::{Group, Groups},
     membership::View,
     observation::Observations,
     share::Shares,
@@ -221,10 +221,10 @@
     }
 
     /// The succession of a service, which is created on first use.
-    pub(crate) fn succession(&mut self, service: &Name, group: &Group) -> &mut Succession {
+    pub(crate) fn succession(&mut self, service: &Name, groups: &Groups) -> &mut Succession {
         self.successions
             .entry(service.clone())
-            .or_insert_with(|| Succession::new(group))
+            .or_insert_with(|| Succession::new(now_ms(), groups, service))
     }
 
     /// The request that makes `member` the primary.
--- a/crates/hemlockcrank_host/src/control/group.rs
+++ b/crates/hemlockcrank_host/src/control/group.rs
@@ -10,7 +10,7 @@
     },
     state::{Command, Reply, State},
 };
-use hemlockcrank_wire::{ProposeReply, decode, encode};
+use hemlockcrank_wire::{ProposeReply, decode, decode_state, encode};
 use ractor::RpcReplyPort;
 
 use crate::{
@@ -239,7 +239,7 @@
 
 /// Decodes the state in a snapshot.
 pub(crate) fn state_of(snapshot: &Snapshot) -> Option<State> {
-    decode(&snapshot.data).ok()
+    decode_state(&snapshot.data).ok()
 }
 
 /// Sends a reply. A caller that has stopped waiting is ignored.
--- a/crates/hemlockcrank_host/src/engine/order.rs
+++ b/crates/hemlockcrank_host/src/engine/order.rs
@@ -32,7 +32,7 @@
         Order::Pause(_, term) => ProxyStatement::Pause(term),
         Order::Resume(_) => ProxyStatement::Resume,
         Order::StepDown(_, term) => ProxyStatement::StepDown(term),
-        Order::Promote(_) | Order::Commit(_) => return None,
+        Order::Promote(..) | Order::Commit(_) => return None,
     };
     let target = Target {
         address: dispatch.address,
--- a/crates/hemlockcrank_wire/src/codec.rs
+++ b/crates/hemlockcrank_wire/src/codec.rs
@@ -1,5 +1,6 @@
 //! Encoding and decoding of message bodies.
 
+use hemlockcrank_core::state::State;
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
@@ -50,3 +51,17 @@
     }
     Ok(value)
 }
+
+/// Decodes a control state, also one that version 3 has encoded: it ends before the nominated members.
+///
+/// # Errors
+///
+/// [`CodecError`] if `bytes` is no state of either version.
+pub fn decode_state(bytes: &[u8]) -> Result<State, CodecError> {
+    /// Encoding of a map without entries.
+    const NO_NOMINEES: [u8; 1] = [0];
+    decode(bytes).or_else(|error| {
+        let completed = [bytes, &NO_NOMINEES].concat();
+        decode(&completed).map_err(|_| error)
+    })
+}
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -21,11 +21,11 @@
     PositionSample, ProposeReply, Request, Response,
 };
 pub use client::{CallError, Client};
-pub use codec::{CodecError, decode, encode};
+pub use codec::{CodecError, decode, decode_state, encode};
 pub use server::{Incoming, serve};
 
 /// Version of the protocol between hosts.
-pub const VERSION: u32 = 3;
+pub const VERSION: u32 = 4;
 /// Maximum size of a request or response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
--- /dev/null
+++ b/crates/hemlockcrank_wire/tests/old_state.rs
@@ -0,0 +1,46 @@
+//! Control state that an earlier version has written.
+
+use hemlockcrank_core::{
+    group::{Age, Edit, Member, Notice, Standing},
+    state::{Command, State},
+};
+use hemlockcrank_wire::{decode_state, encode};
+
+fn state() -> State {
+    let notice = Notice {
+        service: "ledger".into(),
+        member: "a".into(),
+        data: Member {
+            address: "127.0.0.1:1".parse().expect("address"),
+            zone: "z".into(),
+            slots: 3,
+            standing: Standing::Ready,
+            age: Age::default(),
+        },
+        leads: true,
+    };
+    let mut state = State::default();
+    state.apply(1, Some(&Command::Group(Edit::Announce(notice))));
+    state
+}
+
+/// Guards against a host that starts with an empty state after an update, because its snapshot ends
+/// before the nominated members.
+#[test]
+fn a_state_of_version_3_is_read_whole() {
+    let mut bytes = encode(&state()).expect("bytes");
+    assert_eq!(bytes.pop(), Some(0));
+
+    let decoded = decode_state(&bytes);
+
+    assert_eq!(decoded.ok(), Some(state()));
+}
+
+#[test]
+fn a_state_that_is_cut_short_is_refused() {
+    let bytes = encode(&state()).expect("bytes");
+
+    let decoded = decode_state(&bytes[..bytes.len() - 2]);
+
+    assert!(decoded.is_err());
+}
