--- a/crates/hemlockcrank/src/main.rs
+++ b/crates/hemlockcrank/src/main.rs
@@ -66,7 +66,7 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| Report::msg(e.to_string()))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| Report::msg(e.to_string()))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| Report::msg(e.to_string()))?;
-    let daemon = match settings.platform {
+    let mut daemon = match settings.platform {
         Some(_) => hemlockcrank_platform::start(settings).await?,
         None => Daemon::start(settings).await?,
     };
@@ -75,6 +75,7 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = hangup.recv() => reload(&daemon, path),
+            error = daemon.failed() => return Err(error.into()),
         }
     }
     daemon.shut_down().await;
--- a/crates/hemlockcrank_core/src/consensus/node.rs
+++ b/crates/hemlockcrank_core/src/consensus/node.rs
@@ -101,6 +101,18 @@
 }
 
 impl DurableState {
+    /// The changes that lead from an empty state to this one.
+    pub fn to_changes(&self) -> Vec<DurableChange> {
+        vec![
+            DurableChange::Vote {
+                term: self.term,
+                vote: self.vote.clone(),
+            },
+            DurableChange::Snapshot(self.snapshot.clone()),
+            DurableChange::Entries(self.entries.clone()),
+        ]
+    }
+
     /// Applies one change.
     pub fn apply(&mut self, change: DurableChange) {
         match change {
--- a/crates/hemlockcrank_host/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -23,6 +23,7 @@
 
 use hemlockcrank_core::{
     Name,
+    consensus::Timing,
     failover::Report,
     lease::Lease,
     membership::Host,
@@ -46,6 +47,7 @@
 };
 
 use actor::{Arguments, ControlActor, Message};
+use group::Group;
 
 pub use coordinator::{Callbacks, Dispatch, Promotion, RequestPromotion, SendOrder};
 
@@ -53,6 +55,10 @@
 const PROPOSE_ATTEMPTS: u32 = 20;
 /// Pause between two attempts.
 const PROPOSE_PAUSE: Duration = Duration::from_millis(150);
+/// Longest random addition to an election timeout on a host with a platform, in milliseconds.
+const PLATFORM_SPREAD_MS: u64 = 300;
+/// Silence after which a voter is replaced on a host with a platform, in milliseconds.
+const PLATFORM_SILENT_MS: u64 = 2_500;
 
 /// State of this host at one moment: the replicated state as applied here, and this host's lease.
 #[derive(Clone, Debug, Default)]
@@ -151,8 +157,11 @@
     primaries: Arc<Primaries>,
     callbacks: Option<Callbacks>,
 ) -> Result<Control, StartError> {
-    let journal = match &settings.data_dir {
-        Some(folder) => Some(Journal::open(folder, host.incarnation)?),
+    let group = match &settings.data_dir {
+        Some(folder) => {
+            let journal = Journal::open(folder, host.incarnation)?;
+            Some(Group::new(&host.name, journal, timing(&settings))?)
+        }
         None => None,
     };
     let (publish, host_state) = watch::channel(Arc::new(HostState::default()));
@@ -162,7 +171,7 @@
         host: host.clone(),
         peers: Arc::clone(&peers),
         timeline,
-        journal,
+        group,
         primaries,
         callbacks,
         publish,
@@ -183,6 +192,20 @@
     })
 }
 
+/// Time limits of the control group. A platform starts and stops hosts on its own, so there a
+/// silent voter is replaced before a second one is likely to be lost.
+fn timing(settings: &Settings) -> Timing {
+    let mut timing = Timing {
+        target_voters: 2 * settings.disk_losses + 1,
+        ..Timing::default()
+    };
+    if settings.platform.is_some() {
+        timing.voter_timeout_ms = PLATFORM_SILENT_MS;
+        timing.election_spread_ms = PLATFORM_SPREAD_MS;
+    }
+    timing
+}
+
 fn run_thread(arguments: Arguments, ready: tokio::sync::oneshot::Sender<ActorRef<Message>>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -369,6 +392,12 @@
         let _ = self.actor.cast(Message::Leave);
     }
 
+    /// Waits until the control thread has ended.
+    pub(crate) async fn ended(&self) {
+        let mut changes = self.watch_changes();
+        while changes.changed().await.is_ok() {}
+    }
+
     /// Ends the control thread.
     pub async fn stop(&self) {
         let _ = self.actor.stop_and_wait(None, None).await;
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -2,6 +2,7 @@
 
 mod applying;
 mod bootstrap;
+mod disk;
 mod events;
 mod leadership;
 mod polling;
@@ -18,7 +19,7 @@
 
 use hemlockcrank_core::{
     Name,
-    consensus::{Config, Envelope, Input, Role, Timing},
+    consensus::{Config, Envelope, Input, Role},
     failover::Report,
     membership::{Host, HostId},
     relay::Followers,
@@ -34,11 +35,13 @@
 };
 use tokio::sync::watch;
 
+use disk::FailedDisk;
+
 use super::{
     HostState, Status,
     bootstrap::Bootstrap,
     coordinator::{Callbacks, Coordinator},
-    group::{Group, Proposal, reply, state_of},
+    group::{Group, Proposal, reply},
     poller::Poller,
     supervisor::Supervisor,
 };
@@ -46,7 +49,7 @@
     clock::now_ms,
     engine::Primaries,
     event::{Event, Timeline},
-    journal::{Journal, JournalError},
+    journal::JournalError,
     peers::{CALL_TIMEOUT, Peers},
     settings::Settings,
 };
@@ -59,10 +62,6 @@
 const FORM_INTERVAL_MS: u64 = 200;
 /// Interval between two requests to join, in milliseconds.
 const JOIN_INTERVAL_MS: u64 = 1_000;
-/// Longest random addition to an election timeout on a host with a platform, in milliseconds.
-const PLATFORM_SPREAD_MS: u64 = 300;
-/// Silence after which a voter is replaced on a host with a platform, in milliseconds.
-const PLATFORM_SILENT_MS: u64 = 2_500;
 
 /// Messages to the actor.
 #[derive(Debug)]
@@ -125,7 +124,8 @@
     pub(crate) host: Host,
     pub(crate) peers: Arc<Peers>,
     pub(crate) timeline: Arc<Timeline>,
-    pub(crate) journal: Option<Journal>,
+    /// This host's part in the control group and the state to start from; `None` without a disk.
+    pub(crate) group: Option<(Group, State)>,
     pub(crate) primaries: Arc<Primaries>,
     pub(crate) callbacks: Option<Callbacks>,
     pub(crate) publish: watch::Sender<Arc<HostState>>,
@@ -152,7 +152,9 @@
     change_count: watch::Sender<u64>,
     myself: ActorRef<Message>,
     random: ChaCha8Rng,
+    /// `None` on a host without a disk, and while the disk fails.
     group: Option<Group>,
+    failed_disk: Option<FailedDisk>,
     bootstrap: Bootstrap,
     next_form_at: u64,
     next_join_at: u64,
@@ -194,13 +196,13 @@
         myself: ActorRef<Message>,
         arguments: Arguments,
     ) -> Result<ActorState, ActorProcessingErr> {
-        let tick = if arguments.journal.is_some() {
+        let tick = if arguments.group.is_some() {
             VOTER_TICK
         } else {
             HOST_TICK
         };
         myself.send_interval(tick, || Message::Tick);
-        Ok(ActorState::new(arguments, myself))
+        Ok(ActorState::new(arguments, myself)?)
     }
 
     async fn handle(
@@ -209,28 +211,20 @@
         message: Message,
         state: &mut ActorState,
     ) -> Result<(), ActorProcessingErr> {
-        let result = state.handle_message(message);
-        if let Err(error) = &result {
-            let what = "the control journal failed; the control actor stops";
-            state
-                .timeline
-                .emit(Event::Fault, &[("what", &what), ("error", error)]);
+        if let Err(error) = state.handle_message(message) {
+            state.leave_group(&error);
         }
-        Ok(result?)
+        state.finish_message();
+        Ok(())
     }
 }
 
 impl ActorState {
-    fn new(arguments: Arguments, myself: ActorRef<Message>) -> Self {
+    fn new(arguments: Arguments, myself: ActorRef<Message>) -> Result<Self, JournalError> {
         let host = arguments.host;
-        let timing = timing(&arguments.settings);
-        let group = arguments
-            .journal
-            .map(|journal| Group::new(&host.name, journal, timing));
-        let node = group.as_ref().and_then(Group::node);
-        let state = node.and_then(|node| state_of(node.log().snapshot()));
+        let (group, state) = arguments.group.unzip();
         let seed = host.incarnation ^ u64::from(std::process::id()) ^ name_seed(&host.name);
-        Self {
+        Ok(Self {
             settings: arguments.settings,
             host,
             peers: arguments.peers,
@@ -240,6 +234,7 @@
             myself,
             random: ChaCha8Rng::seed_from_u64(seed),
             group,
+            failed_disk: None,
             bootstrap: Bootstrap::default(),
             next_form_at: 0,
             next_join_at: 0,
@@ -262,10 +257,10 @@
             draining: false,
             leaving: false,
             published: None,
-        }
+        })
     }
 
-    /// Handles one message, then answers polls and publishes the resulting state.
+    /// Handles one message. After an error this host must leave the group.
     fn handle_message(&mut self, message: Message) -> Result<(), JournalError> {
         let groups = Arc::clone(&self.state.groups);
         match message {
@@ -300,22 +295,26 @@
             // The next step of a change of primary follows the last one at once.
             self.run_successions(now_ms())?;
         }
+        Ok(())
+    }
+
+    /// Answers polls and publishes the state that a message has led to.
+    fn finish_message(&mut self) {
+        self.note_role();
         self.poller.note_applied(self.state.index);
         self.answer_long_polls();
         self.publish();
-        Ok(())
     }
 
     // ---------------------------------------------------------------------------------------------
     // Ticks
 
     fn tick(&mut self) -> Result<(), JournalError> {
-        let now = now_ms();
         let random = self.random.next_u64();
-        if let Some(group) = &mut self.group {
-            let effects = group.step(Input::Tick { random })?;
-            self.apply_effects(effects);
-        }
+        self.rejoin_group(now_ms());
+        self.step_group(Input::Tick { random })?;
+        // Read after the step, which may have waited long for the disk.
+        let now = now_ms();
         self.join_group(now)?;
         self.lead(now)?;
         self.relay_urgent(now);
@@ -421,20 +420,6 @@
     }
 }
 
-/// Time limits of the control group. A platform starts and stops hosts on its own, so there a
-/// silent voter is replaced before a second one is likely to be lost.
-fn timing(settings: &Settings) -> Timing {
-    let mut timing = Timing {
-        target_voters: 2 * settings.disk_losses + 1,
-        ..Timing::default()
-    };
-    if settings.platform.is_some() {
-        timing.voter_timeout_ms = PLATFORM_SILENT_MS;
-        timing.election_spread_ms = PLATFORM_SPREAD_MS;
-    }
-    timing
-}
-
 fn name_seed(name: &str) -> u64 {
     name.bytes()
         .fold(0, |seed: u64, byte| seed.wrapping_mul(31) + u64::from(byte))
--- a/crates/hemlockcrank_host/src/control/actor/applying.rs
+++ b/crates/hemlockcrank_host/src/control/actor/applying.rs
@@ -22,10 +22,14 @@
         for envelope in effects.sends {
             self.send_envelope(envelope);
         }
-        if let Some(snapshot) = effects.restored
-            && let Some(state) = state_of(&snapshot)
-        {
-            self.replace_state(state);
+        match effects.restored.as_ref().map(state_of) {
+            Some(Ok(state)) => self.replace_state(state),
+            Some(Err(error)) => {
+                let what = "a snapshot of the leader cannot be decoded";
+                self.timeline
+                    .emit(Event::Fault, &[("what", &what), ("error", &error)]);
+            }
+            None => {}
         }
         for entry in effects.applied {
             let command = command_of(&entry);
@@ -55,7 +59,7 @@
         if !Arc::ptr_eq(&old_view, &self.state.view) {
             self.note_view_change(index, &old_view);
         }
-        if self.group.is_some() {
+        if self.settings.data_dir.is_some() {
             self.updates.push(index, command, &outcome);
         }
         if let Some(command) = command {
--- a/crates/hemlockcrank_host/src/control/group.rs
+++ b/crates/hemlockcrank_host/src/control/group.rs
@@ -1,6 +1,6 @@
 //! This host's membership in the control group: the consensus node and its journal.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, path::Path};
 
 use hemlockcrank_core::{
     Name,
@@ -10,7 +10,7 @@
     },
     state::{Command, Reply, State},
 };
-use hemlockcrank_wire::{ProposeReply, decode, decode_state, encode};
+use hemlockcrank_wire::{CodecError, ProposeReply, decode, decode_state, encode};
 use ractor::RpcReplyPort;
 
 use crate::{
@@ -54,19 +54,38 @@
 
 impl Group {
     /// Restores the node from the journal; without saved state the disk is fresh and has no node.
-    pub(crate) fn new(host: &str, mut journal: Journal, timing: Timing) -> Self {
+    /// Returns the group and the state in the node's snapshot.
+    ///
+    /// # Errors
+    ///
+    /// [`JournalError::Codec`] if the snapshot cannot be decoded.
+    pub(crate) fn new(
+        host: &str,
+        mut journal: Journal,
+        timing: Timing,
+    ) -> Result<(Self, State), JournalError> {
         let id = Id::new(host, journal.incarnation());
         let node = journal
             .take_saved()
             .map(|saved| Node::restore(id.clone(), saved, timing.clone(), now_ms()));
-        Self {
+        let state = match &node {
+            Some(node) => state_of(node.log().snapshot())?,
+            None => State::default(),
+        };
+        let group = Self {
             journal,
             node,
             id,
             timing,
             log_bytes: 0,
             pending: BTreeMap::new(),
-        }
+        };
+        Ok((group, state))
+    }
+
+    /// Folder of the journal.
+    pub(crate) fn folder(&self) -> &Path {
+        self.journal.folder()
     }
 
     pub(crate) fn id(&self) -> &Id {
@@ -237,9 +256,17 @@
     }
 }
 
-/// Decodes the state in a snapshot.
-pub(crate) fn state_of(snapshot: &Snapshot) -> Option<State> {
-    decode_state(&snapshot.data).ok()
+/// Decodes the state in a snapshot; that of a new group is empty.
+///
+/// # Errors
+///
+/// [`CodecError`] if it is no state.
+pub(crate) fn state_of(snapshot: &Snapshot) -> Result<State, CodecError> {
+    let data = &snapshot.data;
+    if data.is_empty() {
+        return Ok(State::default());
+    }
+    decode_state(data)
 }
 
 /// Sends a reply. A caller that has stopped waiting is ignored.
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -14,7 +14,7 @@
 use hemlockcrank_wire::{Frame, Request, Response};
 use miette::Diagnostic;
 use thiserror::Error;
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::net::TcpListener;
 
 use crate::{
     caller,
@@ -28,6 +28,7 @@
     metrics::{Metrics, MetricsError},
     peers::Peers,
     settings::Settings,
+    tasks::Tasks,
     upstream::{ConnectOptions, Upstreams},
     watcher::Watcher,
 };
@@ -41,7 +42,7 @@
 /// buckets that it owned.
 const HANDOVER_DURATION: Duration = Duration::from_millis(700);
 
-/// Why the daemon could not start.
+/// Why the daemon could not start, or cannot go on.
 #[derive(Debug, Error, Diagnostic)]
 pub enum DaemonError {
     /// The daemon cannot listen on an address.
@@ -59,6 +60,15 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Control(#[from] StartError),
+    /// A part that the host cannot do without has ended by itself.
+    #[error("a part of the host has ended by itself ({part}): {cause}")]
+    #[diagnostic(code(daemon::ended), help("please report it, with the log"))]
+    Ended {
+        /// Task or thread.
+        part: &'static str,
+        /// Why it ended.
+        cause: String,
+    },
     /// The metrics could not be set up.
     #[error(transparent)]
     #[diagnostic(code(daemon::metrics))]
@@ -82,7 +92,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     context: Arc<Context>,
-    tasks: JoinSet<()>,
+    tasks: Tasks,
 }
 
 impl Daemon {
@@ -177,25 +187,28 @@
             sessions: AtomicUsize::new(0),
             cancel_targets: Mutex::new(HashMap::new()),
         });
-        let mut tasks = JoinSet::new();
-        tasks.spawn(serve_peers(Arc::clone(&context), peer_listener));
-        tasks.spawn(http::serve(Arc::clone(&context), operator_listener));
+        let mut tasks = Tasks::default();
+        tasks.spawn("peers", serve_peers(Arc::clone(&context), peer_listener));
+        tasks.spawn(
+            "operators",
+            http::serve(Arc::clone(&context), operator_listener),
+        );
         if protocol.is_some() {
-            tasks.spawn(portions.run());
+            tasks.spawn("portions", portions.run());
         } else {
-            tasks.spawn(Watcher::default().run(Arc::clone(&context)));
+            tasks.spawn("watcher", Watcher::default().run(Arc::clone(&context)));
         }
         match (proxy, caller_listener) {
             (Some(proxy), Some(listener)) => {
-                tasks.spawn(Arc::clone(&proxy).run());
-                tasks.spawn(engine::serve(proxy, listener));
+                tasks.spawn("primaries", Arc::clone(&proxy).run());
+                tasks.spawn("callers", engine::serve(proxy, listener));
             }
             (None, Some(listener)) => {
-                tasks.spawn(caller::serve(Arc::clone(&context), listener));
+                tasks.spawn("callers", caller::serve(Arc::clone(&context), listener));
             }
             (_, None) => {}
         }
-        tasks.spawn(limits.run());
+        tasks.spawn("limits", limits.run());
         let listen = &context.settings.listen;
         let fields: [(&str, &dyn std::fmt::Display); 3] = [
             (
@@ -217,11 +230,25 @@
     }
 
     /// Runs another task until the host stops.
-    pub fn spawn<F>(&mut self, task: F)
+    pub fn spawn<F>(&mut self, name: &'static str, task: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        self.tasks.spawn(task);
+        self.tasks.spawn(name, task);
+    }
+
+    /// Waits until a part that the host cannot do without has ended by itself. The process must then
+    /// end too, so that it is started again: without that part it would stay up and serve nothing.
+    pub async fn failed(&mut self) -> DaemonError {
+        let (part, cause) = tokio::select! {
+            ended = self.tasks.ended() => ended,
+            () = self.context.control.ended() => ("control", "its thread ended".to_owned()),
+        };
+        let what = format!("{part}: {cause}");
+        let fields: [(&str, &dyn std::fmt::Display); 2] =
+            [("what", &"a part of the host has ended"), ("error", &what)];
+        self.context.timeline.emit(Event::Fault, &fields);
+        DaemonError::Ended { part, cause }
     }
 
     /// Stops gracefully: accepts no new callers, lets open transactions finish and answers be sent
@@ -250,13 +277,13 @@
         let _ = context.control.propose(command).await;
         tokio::time::sleep(HANDOVER_DURATION).await;
         context.timeline.emit(Event::Stopped, &[]);
-        self.tasks.shutdown().await;
+        self.tasks.stop().await;
         context.control.stop().await;
     }
 
     /// Stops immediately, like a crash, and waits until the control thread has closed its files.
     pub async fn kill(mut self) {
-        self.tasks.shutdown().await;
+        self.tasks.stop().await;
         self.context.control.stop().await;
     }
 }
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -45,6 +45,10 @@
     LeaseLost = 204,
     /// The voters or learners of the control group changed.
     MembersChanged = 205,
+    /// The control journal cannot be written; this host has left the control group for now.
+    DiskFailed = 206,
+    /// The control journal can be written again; this host takes part in the control group.
+    DiskRecovered = 207,
     /// A host joined the committed view.
     HostUp = 210,
     /// A host left the committed view.
--- a/crates/hemlockcrank_host/src/journal.rs
+++ b/crates/hemlockcrank_host/src/journal.rs
@@ -5,6 +5,10 @@
 //! new file next to the old one and renames it, so one complete file always exists. A torn record
 //! at the end was never acknowledged and is truncated at start; a damaged record **before** the end
 //! is an error, because acknowledged state would be lost.
+//!
+//! After a failed write the content of the file is not known: part of a record may be there, and the
+//! disk may have dropped what it has not synced although it can still be read. [`Journal::reopen`]
+//! therefore writes what it reads to a new file.
 
 use std::{
     fs::{self, File, OpenOptions},
@@ -50,7 +54,17 @@
         /// Byte offset of the record.
         offset: usize,
     },
-    /// A record cannot be encoded.
+    /// The data folder is not the one that this process started with.
+    #[error("{path}: the data folder was replaced")]
+    #[diagnostic(
+        code(journal::replaced),
+        help("restart the host: it then joins as a new incarnation")
+    )]
+    Replaced {
+        /// Folder.
+        path: PathBuf,
+    },
+    /// A record cannot be encoded, or the state in a snapshot cannot be decoded.
     #[error(transparent)]
     #[diagnostic(code(journal::codec))]
     Codec(#[from] CodecError),
@@ -97,6 +111,28 @@
         })
     }
 
+    /// Opens the journal again after a failed write, and makes what it holds durable.
+    ///
+    /// # Errors
+    ///
+    /// [`JournalError`] while the disk still fails, or if the folder has another incarnation.
+    pub fn reopen(folder: &Path, incarnation: u64) -> Result<Self, JournalError> {
+        let mut journal = Self::open(folder, incarnation)?;
+        if journal.incarnation != incarnation {
+            return Err(JournalError::Replaced {
+                path: folder.to_owned(),
+            });
+        }
+        let changes = journal.saved.as_ref().map(DurableState::to_changes);
+        journal.rewrite(&changes.unwrap_or_default())?;
+        Ok(journal)
+    }
+
+    /// Folder that the journal is in.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Incarnation of this disk.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
@@ -111,7 +147,7 @@
     ///
     /// # Errors
     ///
-    /// [`JournalError`]; after an error the host must not continue as a voter.
+    /// [`JournalError`]; after an error the host must not continue as a voter before [`Self::reopen`].
     pub fn append(&mut self, changes: &[DurableChange]) -> Result<(), JournalError> {
         let path = self.folder.join(JOURNAL_FILE);
         let mut bytes = Vec::new();
@@ -126,7 +162,8 @@
     ///
     /// # Errors
     ///
-    /// [`JournalError`]; one complete journal, the old or the new one, is on disk in that case.
+    /// [`JournalError`]; one complete journal, the old or the new one, is on disk in that case. The
+    /// host must not continue as a voter before [`Self::reopen`].
     pub fn rewrite(&mut self, changes: &[DurableChange]) -> Result<(), JournalError> {
         let new_path = self.folder.join(NEW_FILE);
         let path = self.folder.join(JOURNAL_FILE);
@@ -134,9 +171,11 @@
         for change in changes {
             encode_record(&mut bytes, change)?;
         }
-        let mut file = File::create(&new_path).map_err(io_error(&new_path))?;
-        file.write_all(&bytes).map_err(io_error(&new_path))?;
-        file.sync_all().map_err(io_error(&new_path))?;
+        if let Err(error) = write_new(&new_path, &bytes) {
+            // An incomplete file must not take up space on a full disk; a leftover is overwritten.
+            let _ = fs::remove_file(&new_path);
+            return Err(io_error(&new_path)(error));
+        }
         fs::rename(&new_path, &path).map_err(io_error(&path))?;
         sync_folder(&self.folder)?;
         self.file = OpenOptions::new()
@@ -152,6 +191,12 @@
     move |source| JournalError::Io { path, source }
 }
 
+fn write_new(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
+}
+
 fn sync_folder(folder: &Path) -> Result<(), JournalError> {
     File::open(folder)
         .and_then(|handle| handle.sync_all())
@@ -160,14 +205,18 @@
 
 fn read_incarnation(folder: &Path, new_incarnation: u64) -> Result<u64, JournalError> {
     let path = folder.join(INCARNATION_FILE);
-    if let Ok(text) = fs::read_to_string(&path)
-        && let Ok(incarnation) = text.trim().parse()
-    {
-        return Ok(incarnation);
+    match fs::read_to_string(&path) {
+        Ok(text) => {
+            if let Ok(incarnation) = text.trim().parse() {
+                return Ok(incarnation);
+            }
+        }
+        Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+        // The file is there: another incarnation in its place would make this disk a new voter.
+        Err(error) => return Err(io_error(&path)(error)),
     }
-    let mut file = File::create(&path).map_err(io_error(&path))?;
-    writeln!(file, "{new_incarnation}").map_err(io_error(&path))?;
-    file.sync_all().map_err(io_error(&path))?;
+    let text = format!("{new_incarnation}\n");
+    write_new(&path, text.as_bytes()).map_err(io_error(&path))?;
     sync_folder(folder)?;
     Ok(new_incarnation)
 }
--- a/crates/hemlockcrank_host/src/lib.rs
+++ b/crates/hemlockcrank_host/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod pg;
 pub mod settings;
 mod sync;
+mod tasks;
 pub mod upstream;
 mod watcher;
 
--- a/crates/hemlockcrank_host/tests/site/main.rs
+++ b/crates/hemlockcrank_host/tests/site/main.rs
@@ -2,7 +2,9 @@
 //! members, disks and the network.
 
 mod control;
+mod disks;
 mod failover;
+mod faults;
 mod fixture;
 mod leaving;
 mod limits;
--- a/crates/hemlockcrank_host/tests/surfaces.rs
+++ b/crates/hemlockcrank_host/tests/surfaces.rs
@@ -211,6 +211,39 @@
     let _ = std::fs::remove_dir_all(&folder);
 }
 
+/// Guards against a host that goes on with a journal whose last write failed: part of a record may be
+/// in the file, and the disk may lack what can be read.
+#[test]
+fn a_reopened_journal_is_written_anew_without_a_torn_end() {
+    let (folder, file) = write_journal();
+    let intact = std::fs::read(&file).expect("bytes");
+    std::fs::write(&file, [&intact[..], &[1, 2, 3]].concat()).expect("write");
+
+    let mut reopened = Journal::reopen(&folder, 7).expect("journal");
+    reopened
+        .append(&[DurableChange::Entries(vec![entry(4)])])
+        .expect("append");
+
+    let saved = Journal::open(&folder, 99).expect("journal").take_saved();
+    assert_eq!(saved.map(|saved| saved.entries.len()), Some(4));
+    let other = Journal::reopen(&folder, 8);
+    assert!(matches!(other, Err(JournalError::Replaced { .. })));
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
+/// Guards against a second disk identity when the file that holds it cannot be read.
+#[test]
+fn an_incarnation_that_cannot_be_read_is_not_replaced() {
+    let (folder, _) = write_journal();
+    std::fs::remove_file(folder.join("incarnation")).expect("file");
+    std::fs::create_dir(folder.join("incarnation")).expect("folder");
+
+    let opened = Journal::open(&folder, 99);
+
+    assert!(matches!(opened, Err(JournalError::Io { .. })));
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
 /// One record of an example deployment.
 #[derive(serde::Deserialize)]
 struct Example {
