--- a/crates/hemlockcrank_host/src/engine/member_connection.rs
+++ b/crates/hemlockcrank_host/src/engine/member_connection.rs
@@ -1,7 +1,7 @@
 //! One connection to a member.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, HashMap},
     io,
     net::{IpAddr, SocketAddr},
     time::Duration,
@@ -24,6 +24,10 @@
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
 /// Buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
+/// Number of prepared statements after which a connection is reset before the next one.
+const MAX_PREPARED: usize = 1_024;
+/// Size of the texts of prepared statements after which a connection is reset, in bytes.
+const MAX_PREPARED_BYTES: usize = 256 * 1024;
 
 /// Session values by name.
 pub(crate) type SessionValues = BTreeMap<Name, Name>;
@@ -62,6 +66,33 @@
     pub(crate) member: Name,
 }
 
+/// The statements that are prepared on a connection, with their names there.
+///
+/// The names are numbers of this connection. A name made from the text, such as a digest, would be
+/// the same for two texts whose digests agree, and one would run for the other.
+#[derive(Debug, Default)]
+struct PreparedNames {
+    names: HashMap<PreparedStatement, Name>,
+    text_bytes: usize,
+}
+
+impl PreparedNames {
+    /// Name for the next statement.
+    fn next_name(&self) -> Name {
+        format!("s{}", self.names.len()).into()
+    }
+
+    /// Whether there is no room for another statement.
+    fn is_full(&self) -> bool {
+        self.names.len() >= MAX_PREPARED || self.text_bytes >= MAX_PREPARED_BYTES
+    }
+
+    fn add(&mut self, name: Name, statement: PreparedStatement) {
+        self.text_bytes += statement.text.len();
+        self.names.insert(statement, name);
+    }
+}
+
 /// One connection to a member, with the session state that was set up on it.
 #[derive(Debug)]
 pub(crate) struct MemberConnection {
@@ -69,7 +100,7 @@
     input: BytesMut,
     protocol: Protocol,
     pub(crate) values: SessionValues,
-    prepared: HashSet<Name>,
+    prepared: PreparedNames,
     /// Statements that were sent and whose answers have not been read whole.
     outstanding: usize,
     /// Status after the last answer.
@@ -112,7 +143,7 @@
             input: BytesMut::new(),
             protocol,
             values: SessionValues::new(),
-            prepared: HashSet::new(),
+            prepared: PreparedNames::default(),
             outstanding: 0,
             status: Status::Idle,
         })
@@ -138,29 +169,47 @@
     pub(crate) fn setup_statements(
         &self,
         values: &SessionValues,
-        prepared: Option<(&Name, &PreparedStatement)>,
+        prepared: Option<&PreparedStatement>,
     ) -> Vec<ProxyStatement> {
         let mut statements = Vec::new();
         if self.status == Status::Failed {
             statements.push(ProxyStatement::Rollback);
         }
+        let missing = prepared.filter(|statement| self.prepared_name(statement).is_none());
         let has_extra = self.values.keys().any(|name| !values.contains_key(name));
-        if has_extra {
+        let resets = has_extra || (missing.is_some() && self.prepared.is_full());
+        if resets {
             statements.push(ProxyStatement::Reset);
         }
         for (name, value) in values {
-            if has_extra || self.values.get(name) != Some(value) {
+            if resets || self.values.get(name) != Some(value) {
                 statements.push(ProxyStatement::Set(name.clone(), value.clone()));
             }
         }
-        if let Some((name, statement)) = prepared
-            && (has_extra || !self.prepared.contains(name))
-        {
-            statements.push(ProxyStatement::Prepare(name.clone(), statement.clone()));
-        }
+        let name = match resets {
+            true => PreparedNames::default().next_name(),
+            false => self.prepared.next_name(),
+        };
+        let needed = if resets { prepared } else { missing };
+        statements.extend(needed.map(|statement| ProxyStatement::Prepare(name, statement.clone())));
         statements
     }
 
+    /// Name of a prepared statement on this connection; `None` if it is not prepared.
+    pub(crate) fn prepared_name(&self, statement: &PreparedStatement) -> Option<&Name> {
+        self.prepared.names.get(statement)
+    }
+
+    /// Text that executes a prepared statement on this connection; `None` if it is not prepared.
+    pub(crate) fn execute_text(
+        &self,
+        statement: &PreparedStatement,
+        arguments: &str,
+    ) -> Option<Name> {
+        let name = self.prepared_name(statement)?;
+        Some((self.protocol.execute)(name, arguments).into())
+    }
+
     /// Sends statements of the proxy in one write. Returns the answer to the last one that failed,
     /// or the last answer if none failed.
     pub(crate) async fn run_proxy_statements(
@@ -198,13 +247,13 @@
         match statement {
             ProxyStatement::Reset => {
                 self.values.clear();
-                self.prepared.clear();
+                self.prepared = PreparedNames::default();
             }
             ProxyStatement::Set(name, value) => {
                 self.values.insert(name.clone(), value.clone());
             }
-            ProxyStatement::Prepare(name, _) => {
-                self.prepared.insert(name.clone());
+            ProxyStatement::Prepare(name, statement) => {
+                self.prepared.add(name.clone(), statement.clone());
             }
             _ => {}
         }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -38,16 +38,25 @@
 /// Maximum number of attempts for one read.
 const MAX_ATTEMPTS: usize = 6;
 
+/// What to send to the member.
+#[derive(Clone, Debug)]
+pub(crate) enum Body {
+    /// This text.
+    Text(Name),
+    /// The execution of a prepared statement, whose name differs between connections.
+    Prepared {
+        statement: PreparedStatement,
+        arguments: Name,
+    },
+}
+
 /// A statement to run, with its operation and session state.
 #[derive(Clone, Debug)]
 pub(crate) struct Execution {
     pub(crate) operation: Operation,
     /// Request id, from the caller.
     pub(crate) id: Name,
-    /// Text to send to the member.
-    pub(crate) text: Name,
-    /// Prepared statement that `text` executes, with its name at the members.
-    pub(crate) prepared: Option<(Name, PreparedStatement)>,
+    pub(crate) body: Body,
     pub(crate) values: Arc<SessionValues>,
     /// Newest commit of the session.
     pub(crate) watermark: Position,
@@ -73,18 +82,33 @@
         self.time_left(now_ms()).min(ACQUIRE_TIMEOUT)
     }
 
-    pub(crate) fn query(&self, after: Option<Position>) -> Query {
-        Query {
+    /// The query for a connection that is set up; `None` if a prepared statement is not prepared on
+    /// it.
+    pub(crate) fn query(
+        &self,
+        connection: &MemberConnection,
+        after: Option<Position>,
+    ) -> Option<Query> {
+        let text = match &self.body {
+            Body::Text(text) => text.clone(),
+            Body::Prepared {
+                statement,
+                arguments,
+            } => connection.execute_text(statement, arguments)?,
+        };
+        Some(Query {
             id: self.id.clone(),
-            text: self.text.clone(),
+            text,
             after,
-        }
+        })
     }
 
     /// Statements that set up a connection for this execution.
     pub(crate) fn setup_statements(&self, connection: &MemberConnection) -> Vec<ProxyStatement> {
-        let prepared = self.prepared.as_ref();
-        let prepared = prepared.map(|(name, statement)| (name, statement));
+        let prepared = match &self.body {
+            Body::Text(_) => None,
+            Body::Prepared { statement, .. } => Some(statement),
+        };
         connection.setup_statements(&self.values, prepared)
     }
 
@@ -383,12 +407,10 @@
         let Some(connection) = pooled.connection() else {
             return Err(AttemptError::NotRun("no connection".into()));
         };
-        match timeout(
-            execution.time_left(sent_at),
-            connection.run(&execution.query(after)),
-        )
-        .await
-        {
+        let Some(query) = execution.query(connection, after) else {
+            return Err(AttemptError::NotRun("not prepared".into()));
+        };
+        match timeout(execution.time_left(sent_at), connection.run(&query)).await {
             Ok(Ok(answer)) => Ok((sent_at, answer)),
             _ => {
                 pooled.close();
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -15,7 +15,7 @@
     CallerMessage, Code, PreparedStatement, Proxy, Reply, Statement, Status,
     admission::{Operation, Refusal},
     member_connection::{Answer, SessionValues},
-    read::Execution,
+    read::{Body, Execution},
     transaction::{Step, Transaction},
 };
 use crate::{clock::now_ms, control::HostState, event::Event};
@@ -53,8 +53,8 @@
     database: Name,
     key: Option<Name>,
     values: Arc<SessionValues>,
-    /// Prepared statements by the caller's name, each with its name at the members.
-    prepared: HashMap<Name, (Name, PreparedStatement)>,
+    /// Prepared statements by the caller's name.
+    prepared: HashMap<Name, PreparedStatement>,
     /// Newest commit of the session.
     watermark: Position,
     transaction: Option<Transaction>,
@@ -214,31 +214,29 @@
                 None => self.reply_failed(Code::NoStatement, "no such prepared statement"),
             },
             Statement::Execute { name, arguments } => match self.prepared.get(&name).cloned() {
-                Some((member_name, statement)) => {
-                    let text = (self.proxy.protocol.execute)(&member_name, &arguments);
+                Some(statement) => {
                     let writes = statement.writes;
-                    self.execute(id, text.into(), Some((member_name, statement)), writes)
-                        .await;
+                    let body = Body::Prepared {
+                        statement,
+                        arguments,
+                    };
+                    self.execute(id, body, writes).await;
                 }
                 None => self.reply_failed(Code::NoStatement, "no such prepared statement"),
             },
-            Statement::Read(text) => self.execute(id, text, None, false).await,
-            Statement::Write(text) => self.execute(id, text, None, true).await,
+            Statement::Read(text) => self.execute(id, Body::Text(text), false).await,
+            Statement::Write(text) => self.execute(id, Body::Text(text), true).await,
             Statement::Unknown => self.reply_failed(Code::Malformed, "not a statement"),
         }
     }
 
-    /// Prepares a statement. Equal statements have the same name at the members, so that a
-    /// connection prepares them once for all sessions.
+    /// Prepares a statement. Equal statements are prepared once on each connection, for all sessions.
     fn prepare(&mut self, name: Name, statement: PreparedStatement) {
         if self.prepared.len() >= MAX_NAMES && !self.prepared.contains_key(&name) {
             self.reply_failed(Code::Malformed, "too many prepared statements");
             return;
         }
-        let kind = if statement.writes { "w" } else { "r" };
-        let digest = blake3::hash(statement.text.as_bytes()).to_hex();
-        let member_name = Name::from(format!("{kind}{}", &digest[..12]));
-        self.prepared.insert(name, (member_name, statement));
+        self.prepared.insert(name, statement);
         self.reply_done();
     }
 
@@ -268,7 +266,7 @@
             return;
         }
         let text = self.proxy.protocol.commit.into();
-        let execution = self.execution(transaction.operation.clone(), id, text, None);
+        let execution = self.execution(transaction.operation.clone(), id, Body::Text(text));
         let outcome = transaction
             .run(&self.proxy.clone(), &execution, Step::Commit)
             .await;
@@ -285,16 +283,10 @@
         }
     }
 
-    async fn execute(
-        &mut self,
-        id: &Name,
-        text: Name,
-        prepared: Option<(Name, PreparedStatement)>,
-        writes: bool,
-    ) {
+    async fn execute(&mut self, id: &Name, body: Body, writes: bool) {
         let step = if writes { Step::Write } else { Step::Read };
         if let Some(mut transaction) = self.transaction.take() {
-            let execution = self.execution(transaction.operation.clone(), id, text, prepared);
+            let execution = self.execution(transaction.operation.clone(), id, body);
             let outcome = transaction.run(&self.proxy.clone(), &execution, step).await;
             self.transaction = Some(transaction);
             match outcome {
@@ -310,7 +302,7 @@
             Ok(operation) => operation,
             Err(refusal) => return self.reply_refused(id, &refusal),
         };
-        let execution = self.execution(operation, id, text, prepared);
+        let execution = self.execution(operation, id, body);
         let proxy = Arc::clone(&self.proxy);
         let outcome = match writes {
             true => proxy.write(&execution).await,
@@ -340,19 +332,12 @@
     }
 
     /// Execution of a statement with the current state of the session.
-    fn execution(
-        &self,
-        operation: Operation,
-        id: &Name,
-        text: Name,
-        prepared: Option<(Name, PreparedStatement)>,
-    ) -> Execution {
+    fn execution(&self, operation: Operation, id: &Name, body: Body) -> Execution {
         let deadline = now_ms() + operation.route.timeout_ms;
         Execution {
             operation,
             id: id.clone(),
-            text,
-            prepared,
+            body,
             values: Arc::clone(&self.values),
             watermark: self.watermark,
             deadline,
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -265,7 +265,13 @@
             let Some(connection) = pinned.pooled.connection() else {
                 return refuse(Code::Aborted, "the member was lost", "no connection");
             };
-            let query = execution.query(None);
+            let Some(query) = execution.query(connection, None) else {
+                return refuse(
+                    Code::Aborted,
+                    "the session could not be set up",
+                    "not prepared",
+                );
+            };
             let sent_at = now_ms();
             let Ok(Ok(answer)) =
                 timeout(execution.time_left(sent_at), connection.run(&query)).await
