A member that starts again under its name does not count with its former log

In a change of primary the rows of members are kept by name, and a row of a paused member that was asked for after all hosts were fenced is final. A member that starts again under its name holds nothing of before, and could be promoted for what its former process had reported: every acknowledged commit lost.

Rows go when a member with another start is announced, an answer that no order waits for is ignored, and a nomination names the start of the process.

Evidence: a_member_that_starts_again_under_its_name_... fails without the mend (`c is promoted without (1, 1)`).

--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -105,6 +105,11 @@
         self.members.get_key_value(&lead.member)
     }
 
+    /// Start of a member's process; `None` if it is no member.
+    pub fn born(&self, member: &str) -> Option<u64> {
+        self.members.get(member).map(|member| member.age.born)
+    }
+
     /// Whether `member` is the current primary.
     pub fn is_primary(&self, member: &str) -> bool {
         self.lead
@@ -158,6 +163,8 @@
         change: u64,
         /// Member.
         member: Name,
+        /// Start of the member's process; the nomination of an earlier process is stale.
+        born: u64,
         /// Member that was nominated before in this change; a nomination in place of another one is
         /// stale.
         previous: Option<Name>,
@@ -176,6 +183,8 @@
 pub struct Nominee {
     /// Member.
     pub member: Name,
+    /// Start of its process. One that starts again under this name holds nothing of before.
+    pub born: u64,
     /// Change in which it was nominated.
     pub change: u64,
 }
@@ -208,10 +217,10 @@
     }
 
     /// Member nominated in the change in progress of a service.
-    pub fn nominee(&self, service: &str) -> Option<&Name> {
+    pub fn nominee(&self, service: &str) -> Option<&Nominee> {
         let change = self.get(service)?.change?.index;
-        let nominee = self.unsettled(service)?;
-        (nominee.change == change).then_some(&nominee.member)
+        self.unsettled(service)
+            .filter(|nominee| nominee.change == change)
     }
 
     /// Member nominated last, in the change in progress or an earlier one, if the platform may still
@@ -293,8 +302,16 @@
                 service,
                 change,
                 member,
+                born,
                 previous,
-            } => self.nominate(service, *change, member, previous.as_ref()),
+            } => {
+                let nominee = Nominee {
+                    member: member.clone(),
+                    born: *born,
+                    change: *change,
+                };
+                self.nominate(service, nominee, previous.as_ref())
+            }
             Edit::Settle { service, change } => self.settle(service, *change),
         }
     }
@@ -366,25 +383,20 @@
         true
     }
 
-    fn nominate(
-        &mut self,
-        service: &Name,
-        change: u64,
-        member: &Name,
-        previous: Option<&Name>,
-    ) -> bool {
+    fn nominate(&mut self, service: &Name, nominee: Nominee, previous: Option<&Name>) -> bool {
         let Some(group) = self.groups.get(service) else {
             return false;
         };
-        let in_progress = group.change.is_some_and(|current| current.index == change);
-        let is_stale = self.nominee(service) != previous || previous == Some(member);
-        if !in_progress || is_stale || !group.members.contains_key(member) {
+        let in_progress = group
+            .change
+            .is_some_and(|current| current.index == nominee.change);
+        let current = self.nominee(service);
+        let is_stale = current.map(|current| &current.member) != previous
+            || current == Some(&nominee)
+            || group.born(&nominee.member) != Some(nominee.born);
+        if !in_progress || is_stale {
             return false;
         }
-        let nominee = Nominee {
-            member: member.clone(),
-            change,
-        };
         self.nominees.insert(service.clone(), nominee);
         true
     }
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -31,7 +31,7 @@
 
 use crate::{
     Name,
-    group::{Edit, Group, Groups, Lead},
+    group::{Edit, Group, Groups, Lead, Nominee},
     session::Position,
 };
 use calls::Calls;
@@ -110,7 +110,7 @@
 
 impl<'a> Inputs<'a> {
     /// Member nominated in the change in progress.
-    fn nominee(&self) -> Option<&'a Name> {
+    fn nominee(&self) -> Option<&'a Nominee> {
         self.groups.nominee(self.service)
     }
 }
@@ -190,6 +190,9 @@
     change: Option<u64>,
     began_at: u64,
     rows: BTreeMap<Name, MemberRow>,
+    /// Start of each member's process. What a process reported does not hold for the next one under
+    /// its name.
+    born: BTreeMap<Name, u64>,
     polling: BTreeMap<Name, Polling>,
     /// Primary of the term that is ending. Its position after stepping down bounds all acknowledged
     /// commits.
@@ -234,6 +237,7 @@
         }
         self.to_resume
             .retain(|member| group.members.contains_key(member));
+        self.forget_restarted(group);
         if group.change.map(|change| change.index) != self.change {
             self.reset(now, inputs);
         }
@@ -244,9 +248,25 @@
         }
     }
 
-    /// Records a member's reply to an order.
+    /// Forgets what members reported that have started again since.
+    fn forget_restarted(&mut self, group: &Group) {
+        for (name, member) in &group.members {
+            let born = member.age.born;
+            let last = self.born.insert(name.clone(), born);
+            if last.is_some_and(|last| last != born) {
+                self.rows.remove(name);
+                self.polling.remove(name);
+            }
+        }
+        self.born.retain(|name, _| group.members.contains_key(name));
+    }
+
+    /// Records a member's reply to an order; one that no order waits for is ignored.
     pub fn record_reply(&mut self, now: u64, member: &Name, order: &Order, reply: OrderReply) {
-        let polling = self.polling.entry(member.clone()).or_default();
+        let waiting = self.polling.get_mut(member);
+        let Some(polling) = waiting.filter(|polling| polling.in_flight) else {
+            return;
+        };
         polling.in_flight = false;
         let row = match reply {
             OrderReply::Row(row) => row,
--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -126,14 +126,17 @@
         term: u64,
     ) -> Option<Order> {
         let nominee = inputs.nominee();
-        let is_gone = nominee.is_some_and(|name| {
-            !inputs.group.members.contains_key(name) || self.calls.is_not_running(name)
+        let is_gone = nominee.is_some_and(|nominee| {
+            inputs.group.born(&nominee.member) != Some(nominee.born)
+                || self.calls.is_not_running(&nominee.member)
         });
-        if let Some(name) = nominee.filter(|_| !is_gone) {
-            return self.call(now, inputs, term, name);
+        if let Some(nominee) = nominee.filter(|_| !is_gone) {
+            return self.call(now, inputs, term, &nominee.member);
         }
         let candidate = self.candidate(now, inputs, term)?;
-        if nominee == Some(&candidate) {
+        let born = inputs.group.born(&candidate)?;
+        let previous = nominee.map(|nominee| &nominee.member);
+        if nominee.is_some_and(|nominee| nominee.member == candidate && nominee.born == born) {
             self.calls.forget_not_running();
             return self.call(now, inputs, term, &candidate);
         }
@@ -144,7 +147,8 @@
             service: inputs.service.clone(),
             change: change.index,
             member: candidate,
-            previous: nominee.cloned(),
+            born,
+            previous: previous.cloned(),
         };
         self.propose(now, edit).pop()
     }
@@ -180,7 +184,7 @@
         let group = inputs.group;
         let old_term = group.lead.as_ref().map_or(0, |lead| lead.term);
         let may_be_adopted = |name: &Name| match inputs.nominee() {
-            Some(nominee) => name == nominee,
+            Some(nominee) => *name == nominee.member,
             None => !group.is_primary(name),
         };
         let mut rows = self.rows.iter().filter(|(name, _)| may_be_adopted(name));
@@ -200,7 +204,7 @@
     ) -> Option<Vec<Order>> {
         let Some((member, at)) = self.promoted.clone() else {
             let awaited = self.calls.awaits(now, self.change);
-            let order = Order::Look(inputs.nominee().filter(|_| awaited)?.clone());
+            let order = Order::Look(inputs.nominee().filter(|_| awaited)?.member.clone());
             return Some(Vec::from_iter(self.send(
                 now,
                 inputs.fencing.complete,
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -31,6 +31,8 @@
     pub(crate) cut_from_leader: bool,
     /// Carries out orders, but its answers are lost.
     pub(crate) loses_answers: bool,
+    /// Time that its answers take, in milliseconds.
+    pub(crate) answer_ms: u64,
     /// Cannot reach the other members.
     pub(crate) cut_from_members: bool,
 }
@@ -92,6 +94,8 @@
     /// Members that took the lead, in this order.
     pub(crate) promoted: Vec<Name>,
     calls: Vec<Call>,
+    /// Answers of members that are on their way, with the time of their arrival.
+    answers: Vec<(u64, Name, Order, OrderReply)>,
     leadership: u64,
     /// Newest acknowledged commit, reported to the leader by [`Site::release`].
     newest_acknowledged: Position,
@@ -114,6 +118,7 @@
             platform: None,
             promoted: Vec::new(),
             calls: Vec::new(),
+            answers: Vec::new(),
             leadership: 0,
             newest_acknowledged: Position::default(),
             next_commit: 0,
@@ -138,14 +143,29 @@
         site
     }
 
+    /// A member starts again under its name, with an empty log.
+    pub(crate) fn restart_empty(&mut self, name: &str) {
+        let term = self.members[name].term;
+        let restarted = SimMember {
+            term,
+            ..SimMember::default()
+        };
+        self.members.insert(name.into(), restarted);
+        self.announce_process(name, Standing::Ready, 2);
+    }
+
     pub(crate) fn announce(&mut self, name: &str, standing: Standing) {
+        self.announce_process(name, standing, 1);
+    }
+
+    fn announce_process(&mut self, name: &str, standing: Standing, born: u64) {
         let initial = SimMember {
             term: 1,
             ..SimMember::default()
         };
         self.members.entry(name.into()).or_insert(initial);
         let age = Age {
-            born: 1,
+            born,
             seq: self.state.index,
         };
         let data = Member {
@@ -178,6 +198,12 @@
         &self.state.groups
     }
 
+    /// Member nominated in the change in progress.
+    pub(crate) fn nominee(&self) -> Option<Name> {
+        let nominee = self.groups().nominee(SERVICE)?;
+        Some(nominee.member.clone())
+    }
+
     pub(crate) fn lead(&self) -> &Lead {
         self.group().lead.as_ref().expect("lead")
     }
@@ -235,6 +261,7 @@
     pub(crate) fn change_leader(&mut self) {
         self.succession = Succession::new(self.now, &self.state.groups, SERVICE);
         self.leadership += 1;
+        self.answers.clear();
     }
 
     /// One tick of the leader. Every order is executed and answered at once, unless `is_lost`
@@ -245,6 +272,7 @@
     {
         self.now += TICK_MS;
         self.run_platform();
+        self.deliver_answers();
         let groups: Groups = Groups::clone(&self.state.groups);
         let service = Name::from(SERVICE);
         let inputs = Inputs {
@@ -306,7 +334,22 @@
                     }
                     false => OrderReply::Nothing,
                 };
-                self.succession.record_reply(now, &member, order, reply);
+                let arrives_at = now + self.members[&member].answer_ms;
+                self.answers
+                    .push((arrives_at, member, order.clone(), reply));
+                self.deliver_answers();
+            }
+        }
+    }
+
+    /// Passes the answers that have arrived to the leader.
+    fn deliver_answers(&mut self) {
+        let now = self.now;
+        for answer in std::mem::take(&mut self.answers) {
+            let (arrives_at, member, order, reply) = &answer;
+            match *arrives_at <= now {
+                true => self.succession.record_reply(now, member, order, *reply),
+                false => self.answers.push(answer),
             }
         }
     }
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -264,8 +264,8 @@
 
     for step in 0..4 * TICKS_PER_SECOND {
         site.tick(|_| false);
-        let nominee = site.groups().nominee("ledger").cloned();
-        let receiver = match nominee.as_deref() {
+        let nominee = site.groups().nominee("ledger");
+        let receiver = match nominee.map(|nominee| &*nominee.member) {
             Some("b") => "c",
             Some(_) => "b",
             None => ["b", "c"][step % 2],
@@ -404,7 +404,7 @@
             false
         });
     }
-    let nominee = site.groups().nominee("ledger").expect("nominee").clone();
+    let nominee = site.nominee().expect("nominee");
 
     site.member(&nominee).down = true;
     site.ticks(20 * TICKS_PER_SECOND);
@@ -473,6 +473,7 @@
         service: "ledger".into(),
         change,
         member: member.into(),
+        born: 1,
         previous: previous.map(Name::from),
     };
 
@@ -480,5 +481,63 @@
     site.commit(nominate("c", None));
     site.commit(nominate("unknown", Some("b")));
 
-    assert_eq!(site.groups().nominee("ledger"), Some(&"b".into()));
+    assert_eq!(site.nominee(), Some("b".into()));
+}
+
+/// Guards against a second promotion when the promoted member can't be observed for a while, on a
+/// platform that answers at once.
+#[test]
+fn a_promoted_member_that_cannot_be_observed_is_followed_by_no_other() {
+    let mut site = Site::new();
+    site.platform = Some(Platform {
+        effect_ms: 600,
+        answer_ms: Some(25),
+    });
+    begin_planned_change(&mut site);
+    site.member("c").answer_ms = 200;
+    let mut silent_until = u64::MAX;
+    let mut first = None;
+    for _ in 0..6 * TICKS_PER_SECOND {
+        let now = site.now;
+        site.tick(|order| {
+            if let Order::Promote(member, _) = order {
+                first.get_or_insert(member.clone());
+                silent_until = silent_until.min(now + 1_700);
+            }
+            let is_asked = matches!(order, Order::Promote(..));
+            let is_silent = now < silent_until && order.member() == first.as_ref();
+            is_silent && !is_asked && first.is_some()
+        });
+        if site.change().is_none() {
+            let primary = site.lead().member.clone();
+            let other = if *primary == *"b" { "c" } else { "b" };
+            site.write(&primary, &[other]);
+        }
+    }
+
+    assert_eq!(site.change(), None);
+    assert_eq!(site.promoted, [first.expect("a call")]);
+}
+
+/// Guards against the promotion of a member that has started again under its name: it holds nothing
+/// of what it reported before.
+#[test]
+fn a_member_that_starts_again_under_its_name_is_not_promoted_for_what_it_held_before() {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    site.member("a").down = true;
+    site.failing_ms = Some(500);
+    site.ticks(TICKS_PER_SECOND / 4);
+    site.release(true);
+    for _ in 0..2 * TICKS_PER_SECOND {
+        // All members have been seen, and no call has been made yet.
+        site.tick(|order| matches!(order, Order::Promote(..)));
+    }
+    let nominee = site.nominee().expect("nominee");
+
+    site.restart_empty(&nominee);
+    site.ticks(20 * TICKS_PER_SECOND);
+
+    assert_eq!(site.change(), None);
+    assert_ne!(site.lead().member, nominee);
 }
