--- a/crates/hemlockcrank_host/src/caller/session.rs
+++ b/crates/hemlockcrank_host/src/caller/session.rs
@@ -21,6 +21,7 @@
     context::Context,
     event::Event,
     pg::{Frame, PgError, Severity, Stream, error_response, notice_response, tag},
+    phase::{self, Phase},
 };
 
 /// Object identifier of the type text.
@@ -110,7 +111,7 @@
 
     async fn serve(&mut self) -> Result<(), PgError> {
         while let Some(unit) = self.next_unit().await? {
-            let result = self.run_unit(unit).await?;
+            let result = self.run_or_give_up(unit).await?;
             if let Err(failure) = result {
                 let fatal = failure.severity == Severity::Fatal;
                 self.answer_failure(&failure).await?;
@@ -122,6 +123,26 @@
         Ok(())
     }
 
+    /// Runs a unit, unless the process ends before it is done.
+    async fn run_or_give_up(&mut self, unit: Unit) -> Result<UnitResult, PgError> {
+        let may_write = !matches!(unit.class, Class::Read | Class::Set { .. });
+        let mut phase = self.context.phase.clone();
+        let result = tokio::select! {
+            biased;
+            result = self.run_unit(unit) => Some(result),
+            () = phase::reached(&mut phase, Phase::Ending) => None,
+        };
+        if let Some(result) = result {
+            return result;
+        }
+        self.stream.discard_queued();
+        let failure = match may_write {
+            true => Failure::outcome_unknown(),
+            false => Failure::read_lost(),
+        };
+        Ok(Err(failure.into_fatal()))
+    }
+
     /// Reads the next unit; `None` when the caller disconnects or the proxy ends the session.
     async fn next_unit(&mut self) -> Result<Option<Unit>, PgError> {
         let mut frames = Vec::new();
@@ -147,15 +168,19 @@
     }
 
     /// Reads one message. Ends the session when the caller's key was withdrawn, or when this host
-    /// leaves service and the caller is idle outside a transaction.
+    /// leaves service and the caller is idle outside a transaction, or in one that the shutdown does
+    /// not wait for any more.
     async fn next_frame(&mut self, idle: bool) -> Result<Option<Frame>, PgError> {
         let mut changes = self.context.control.watch_changes();
+        let mut phases = self.context.phase.clone();
         loop {
             changes.borrow_and_update();
+            let may_go_on =
+                self.transaction.is_some() && *phases.borrow_and_update() < Phase::Closing;
             let host_state = self.context.control.host_state();
             let ending = if self.key_is_withdrawn(&host_state) {
                 Some(Failure::key_withdrawn())
-            } else if idle && self.transaction.is_none() && self.is_host_leaving(&host_state) {
+            } else if idle && !may_go_on && self.is_host_leaving(&host_state) {
                 Some(Failure::host_leaving())
             } else {
                 None
@@ -173,6 +198,7 @@
                         return self.stream.read().await;
                     }
                 }
+                () = phase::changed(&mut phases) => {}
             }
         }
     }
--- a/crates/hemlockcrank_host/src/context.rs
+++ b/crates/hemlockcrank_host/src/context.rs
@@ -10,6 +10,7 @@
 };
 
 use pgwire::messages::startup::SecretKey;
+use tokio::sync::watch;
 
 use crate::{
     control::Control,
@@ -18,6 +19,7 @@
     limits::{Limits, Portions},
     metrics::Metrics,
     peers::Peers,
+    phase::Phase,
     settings::Settings,
     upstream::Upstreams,
 };
@@ -46,6 +48,8 @@
     pub metrics: Arc<Metrics>,
     /// Sessions of a platform that replaces PostgreSQL, on hosts that serve them.
     pub proxy: Option<Arc<Proxy>>,
+    /// Steps of a graceful shutdown.
+    pub(crate) phase: watch::Receiver<Phase>,
     /// Counter that numbers the caller sessions.
     pub(crate) next_session: AtomicU64,
     /// Number of open caller sessions.
--- a/crates/hemlockcrank_host/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -269,7 +269,8 @@
                 Some(address) => self.propose_at(address, &command).await,
                 None => match self.answer(Request::Propose(command.clone())).await {
                     Response::Proposed(reply) => Some(reply),
-                    _ => None,
+                    // The actor has ended and may have written the command before.
+                    _ => Some(ProposeReply::Unknown),
                 },
             };
             match reply {
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -14,7 +14,7 @@
 use hemlockcrank_wire::{Frame, Request, Response};
 use miette::Diagnostic;
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch, time::sleep};
 
 use crate::{
     caller,
@@ -27,6 +27,7 @@
     limits::{Limits, Portions},
     metrics::{Metrics, MetricsError},
     peers::Peers,
+    phase::Phase,
     settings::Settings,
     tasks::Tasks,
     upstream::{ConnectOptions, Upstreams},
@@ -42,6 +43,9 @@
 /// buckets that it owned.
 const HANDOVER_DURATION: Duration = Duration::from_millis(700);
 
+/// Time for the last answers to statements that still run when the process ends.
+const LAST_ANSWERS_DURATION: Duration = Duration::from_millis(200);
+
 /// Why the daemon could not start, or cannot go on.
 #[derive(Debug, Error, Diagnostic)]
 pub enum DaemonError {
@@ -93,6 +97,7 @@
 pub struct Daemon {
     context: Arc<Context>,
     tasks: Tasks,
+    phase: watch::Sender<Phase>,
 }
 
 impl Daemon {
@@ -159,6 +164,7 @@
             answer_limit: Duration::from_millis(settings.limits.silence_ms) * ANSWER_LIMIT_FACTOR,
         };
         let metrics = Arc::new(Metrics::new()?);
+        let (phase, phases) = watch::channel(Phase::default());
         let proxy = protocol
             .filter(|_| caller_listener.is_some())
             .map(|protocol| {
@@ -170,6 +176,7 @@
                     primaries,
                     timeline: Arc::clone(&timeline),
                     metrics: Arc::clone(&metrics),
+                    phase: phases.clone(),
                 };
                 Proxy::new(protocol, dependencies)
             });
@@ -183,6 +190,7 @@
             portions: Arc::clone(&portions),
             metrics,
             proxy: proxy.clone(),
+            phase: phases,
             next_session: AtomicU64::new(0),
             sessions: AtomicUsize::new(0),
             cancel_targets: Mutex::new(HashMap::new()),
@@ -221,7 +229,11 @@
             ("operator", &listen.operator),
         ];
         context.timeline.emit(Event::Started, &fields);
-        Ok(Self { context, tasks })
+        Ok(Self {
+            context,
+            tasks,
+            phase,
+        })
     }
 
     /// State that the components share.
@@ -237,8 +249,9 @@
         self.tasks.spawn(name, task);
     }
 
-    /// Waits until a part that the host cannot do without has ended by itself. The process must then
-    /// end too, so that it is started again: without that part it would stay up and serve nothing.
+    /// Waits until a part that the host cannot do without has ended by itself, and gives statements
+    /// that run their last answers. The process must then end too, so that it is started again:
+    /// without that part it would stay up and serve nothing.
     pub async fn failed(&mut self) -> DaemonError {
         let (part, cause) = tokio::select! {
             ended = self.tasks.ended() => ended,
@@ -248,37 +261,67 @@
         let fields: [(&str, &dyn std::fmt::Display); 2] =
             [("what", &"a part of the host has ended"), ("error", &what)];
         self.context.timeline.emit(Event::Fault, &fields);
+        self.give_last_answers().await;
         DaemonError::Ended { part, cause }
     }
 
-    /// Stops gracefully: accepts no new callers, lets open transactions finish and answers be sent
-    /// completely, and then removes the host from the view.
+    /// Stops gracefully: accepts no new callers, lets open transactions and running statements
+    /// finish, and then removes the host from the view. What has not finished by then gets a last
+    /// answer that says whether it may have run.
     pub async fn shut_down(mut self) {
         let context = Arc::clone(&self.context);
         context.timeline.emit(Event::Draining, &[]);
         context.control.drain();
         let limit = Duration::from_millis(context.settings.limits.drain_ms);
-        let drained = async {
-            if let Some(proxy) = &context.proxy {
-                tokio::time::sleep(DRAIN_NOTICE_DURATION).await;
-                proxy.drain();
-            }
-            while open_sessions(&context) > 0 {
-                tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            }
-        };
-        let _ = tokio::time::timeout(limit, drained).await;
+        let _ = tokio::time::timeout(limit, self.drain()).await;
+        self.phase.send_replace(Phase::Closing);
         context.control.leave();
-        let host = context.control.host();
+        tokio::join!(self.leave_view(), sleep(HANDOVER_DURATION));
+        self.give_last_answers().await;
+        context.timeline.emit(Event::Stopped, &[]);
+        self.tasks.stop().await;
+        context.control.stop().await;
+    }
+
+    /// Ends the sessions step by step.
+    async fn drain(&self) {
+        let limits = &self.context.settings.limits;
+        let notice = match self.context.proxy {
+            Some(_) => DRAIN_NOTICE_DURATION,
+            None => Duration::ZERO,
+        };
+        let transactions = Duration::from_millis(limits.transaction_drain_ms);
+        sleep(notice).await;
+        self.phase.send_replace(Phase::Draining);
+        let ended =
+            tokio::time::timeout(transactions.saturating_sub(notice), self.sessions_ended());
+        if ended.await.is_err() {
+            self.phase.send_replace(Phase::Closing);
+            self.sessions_ended().await;
+        }
+    }
+
+    /// Removes this host from the view, unless no leader answers in time.
+    async fn leave_view(&self) {
+        let control = &self.context.control;
+        let host = control.host();
         let command = Command::HostDown {
             name: host.name.clone(),
             incarnation: host.incarnation,
         };
-        let _ = context.control.propose(command).await;
-        tokio::time::sleep(HANDOVER_DURATION).await;
-        context.timeline.emit(Event::Stopped, &[]);
-        self.tasks.stop().await;
-        context.control.stop().await;
+        let _ = tokio::time::timeout(HANDOVER_DURATION, control.propose(command)).await;
+    }
+
+    /// Lets every statement that still runs be answered before the process ends.
+    async fn give_last_answers(&self) {
+        self.phase.send_replace(Phase::Ending);
+        let _ = tokio::time::timeout(LAST_ANSWERS_DURATION, self.sessions_ended()).await;
+    }
+
+    async fn sessions_ended(&self) {
+        while open_sessions(&self.context) > 0 {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
     }
 
     /// Stops immediately, like a crash, and waits until the control thread has closed its files.
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -22,6 +22,7 @@
     event::{Event, Timeline},
     limits::{Limits, Portions},
     metrics::Metrics,
+    phase::Phase,
     settings::Settings,
     sync::lock,
 };
@@ -54,6 +55,7 @@
     pub(crate) primaries: Arc<Primaries>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) phase: watch::Receiver<Phase>,
 }
 
 /// Proxy for the callers of this host: all that their sessions share.
@@ -69,7 +71,8 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Number of open sessions.
     pub(crate) sessions: AtomicUsize,
-    draining: watch::Sender<bool>,
+    /// Steps of a graceful shutdown.
+    pub(crate) phase: watch::Receiver<Phase>,
     /// Connection pools by member.
     pools: Mutex<HashMap<Name, Arc<Pool>>>,
 }
@@ -86,21 +89,11 @@
             timeline: dependencies.timeline,
             metrics: dependencies.metrics,
             sessions: AtomicUsize::new(0),
-            draining: watch::channel(false).0,
+            phase: dependencies.phase,
             pools: Mutex::default(),
         })
     }
 
-    /// Ends idle sessions now, and the others as soon as they are idle.
-    pub(crate) fn drain(&self) {
-        self.draining.send_replace(true);
-    }
-
-    /// Watches whether the proxy drains.
-    pub(crate) fn watch_draining(&self) -> watch::Receiver<bool> {
-        self.draining.subscribe()
-    }
-
     pub(crate) fn host_state(&self) -> Arc<HostState> {
         self.control.host_state()
     }
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -18,7 +18,12 @@
     read::{Body, Execution},
     transaction::{Step, Transaction},
 };
-use crate::{clock::now_ms, control::HostState, event::Event};
+use crate::{
+    clock::now_ms,
+    control::HostState,
+    event::Event,
+    phase::{self, Phase},
+};
 
 /// Maximum length of a caller's message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
@@ -31,6 +36,9 @@
 /// Maximum number of session values, and of prepared statements, of one session.
 const MAX_NAMES: usize = 256;
 
+/// Why a statement is refused, or a transaction rolled back, late in a graceful shutdown.
+const SHUTTING_DOWN: &str = "this host is shutting down";
+
 /// Why a session ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -58,12 +66,15 @@
     /// Newest commit of the session.
     watermark: Position,
     transaction: Option<Transaction>,
-    draining: watch::Receiver<bool>,
+    /// Why the open transaction was rolled back without a statement of the caller, until the caller
+    /// is told.
+    rolled_back: Option<&'static str>,
+    phase: watch::Receiver<Phase>,
 }
 
 impl Session {
     pub(crate) fn new(proxy: Arc<Proxy>, stream: TcpStream) -> Self {
-        let draining = proxy.watch_draining();
+        let phase = proxy.phase.clone();
         Self {
             proxy,
             stream,
@@ -75,7 +86,8 @@
             prepared: HashMap::new(),
             watermark: Position::default(),
             transaction: None,
-            draining,
+            rolled_back: None,
+            phase,
         }
     }
 
@@ -109,8 +121,11 @@
         loop {
             match self.next_message().await? {
                 CallerMessage::Query { id, statement } => {
-                    self.run_statement(&id, statement).await;
+                    let last = self.run_or_give_up(&id, statement).await;
                     self.flush().await?;
+                    if last {
+                        return Ok(End::Draining);
+                    }
                 }
                 CallerMessage::Bye => return Ok(End::Disconnected),
                 CallerMessage::Start { .. } => return Err(End::Malformed),
@@ -121,33 +136,40 @@
     // ---------------------------------------------------------------------------------------------
     // Input
 
-    /// Reads the next message. Ends the session if it is idle while the host shuts down, and
-    /// abandons a transaction that has been idle for too long.
+    /// Reads the next message. Ends the session if it is idle while the host shuts down, and rolls
+    /// back a transaction that has been idle for too long or that the shutdown does not wait for.
     async fn next_message(&mut self) -> Result<CallerMessage, End> {
         loop {
+            let phase = *self.phase.borrow_and_update();
+            if phase >= Phase::Closing {
+                self.roll_back(SHUTTING_DOWN);
+            }
             if let Some(message) = self.parse()? {
                 return Ok(message);
             }
             let host_state = self.proxy.host_state();
             let idle = self.transaction.is_none() && self.input.is_empty();
-            let draining = *self.draining.borrow_and_update();
-            if draining && idle {
+            if phase >= Phase::Ending || (phase >= Phase::Draining && idle) {
                 return Err(End::Draining);
             }
             let limit = self.idle_limit(&host_state);
             tokio::select! {
                 read = read_more(&mut self.stream, &mut self.input) => read?,
-                _ = self.draining.changed() => {}
-                () = sleep_or_never(limit) => {
-                    if let Some(transaction) = &mut self.transaction {
-                        transaction.abandon();
-                        transaction.failed = true;
-                    }
-                }
+                () = phase::changed(&mut self.phase) => {}
+                () = sleep_or_never(limit) => self.roll_back("the transaction was idle for too long"),
             }
         }
     }
 
+    /// Rolls back the open transaction between two statements of the caller.
+    fn roll_back(&mut self, reason: &'static str) {
+        if let Some(transaction) = self.transaction.as_mut().filter(|open| !open.failed) {
+            transaction.abandon();
+            transaction.failed = true;
+            self.rolled_back = Some(reason);
+        }
+    }
+
     /// Time limit of an open transaction without a statement.
     fn idle_limit(&self, host_state: &HostState) -> Option<Duration> {
         let open = self
@@ -179,12 +201,59 @@
     // ---------------------------------------------------------------------------------------------
     // Statements
 
+    /// Runs a statement, unless the process ends before it is done: then the caller gets an answer
+    /// that says whether it may have run. Returns whether that answer is the last one.
+    async fn run_or_give_up(&mut self, id: &Name, statement: Statement) -> bool {
+        let may_commit = self.may_commit(&statement);
+        let was_open = self.transaction.is_some();
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            biased;
+            () = self.run_statement(id, statement) => return false,
+            () = phase::reached(&mut phase, Phase::Ending) => {}
+        }
+        // The statement has been dropped, and a connection with an answer outstanding is closed.
+        self.transaction = None;
+        let code = match may_commit {
+            true => Code::InDoubt,
+            false => Code::Aborted,
+        };
+        let refusal = Refusal::new(code, SHUTTING_DOWN);
+        self.emit_refusal(id, &refusal);
+        let status = if was_open {
+            Status::Failed
+        } else {
+            Status::Idle
+        };
+        self.write_reply(&Reply::Failed(code, SHUTTING_DOWN.as_bytes()));
+        self.write_reply(&Reply::Ready(status, None));
+        true
+    }
+
+    /// Whether a statement may commit a write.
+    fn may_commit(&self, statement: &Statement) -> bool {
+        match (statement, &self.transaction) {
+            (Statement::Commit, Some(transaction)) => transaction.wrote(),
+            (Statement::Write(_), None) => true,
+            (Statement::Execute { name, .. }, None) => self
+                .prepared
+                .get(name)
+                .is_some_and(|statement| statement.writes),
+            _ => false,
+        }
+    }
+
     async fn run_statement(&mut self, id: &Name, statement: Statement) {
         let failed = self
             .transaction
             .as_ref()
             .is_some_and(|transaction| transaction.failed);
+        let rolled_back = self.rolled_back.take();
         if failed && statement != Statement::Rollback && statement != Statement::Commit {
+            if let Some(reason) = rolled_back {
+                self.reply_refused(id, &Refusal::new(Code::Aborted, reason));
+                return;
+            }
             self.reply_failed(Code::Malformed, "the transaction has failed");
             return;
         }
@@ -322,6 +391,9 @@
     /// Starts an operation: determines its route and workspace, spends a token of the rate limit and
     /// counts it.
     async fn admit(&self) -> Result<Operation, Refusal> {
+        if *self.phase.borrow() >= Phase::Closing {
+            return Err(Refusal::new(Code::Aborted, SHUTTING_DOWN));
+        }
         let operation = self.proxy.resolve(&self.database, self.key.as_ref())?;
         self.proxy.admit(&operation).await?;
         let service = &operation.route.service;
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether a statement of it may have written.
+    pub(crate) fn wrote(&self) -> bool {
+        self.wrote
+    }
+
     /// Runs a statement. The first statement chooses the member for the whole transaction.
     ///
     /// # Errors
--- a/crates/hemlockcrank_host/src/lib.rs
+++ b/crates/hemlockcrank_host/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod pg;
+pub mod phase;
 pub mod settings;
 mod sync;
 mod tasks;
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -145,6 +145,9 @@
     pub acknowledge_ms: u64,
     /// Longest duration of a graceful shutdown, in milliseconds.
     pub drain_ms: u64,
+    /// Time that open transactions have to end in a graceful shutdown, in milliseconds; no longer
+    /// than `drain_ms`.
+    pub transaction_drain_ms: u64,
     /// Time without data after which the connection of a running statement is checked, in
     /// milliseconds.
     pub silence_ms: u64,
@@ -160,6 +163,7 @@
             wait_ms: 3_000,
             acknowledge_ms: 10_000,
             drain_ms: 30_000,
+            transaction_drain_ms: 15_000,
             silence_ms: 1_000,
             replica_reads: true,
         }
--- a/crates/hemlockcrank_host/tests/site/fixture.rs
+++ b/crates/hemlockcrank_host/tests/site/fixture.rs
@@ -12,7 +12,7 @@
 pub(crate) const KEY: &str = "khedive-key";
 const ZONES: [&str; 3] = ["z1", "z2", "z3"];
 /// Time limit of [`eventually`].
-const EVENTUALLY_LIMIT: Duration = Duration::from_secs(30);
+pub(crate) const EVENTUALLY_LIMIT: Duration = Duration::from_secs(30);
 /// Pause between two checks of [`eventually`].
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -27,6 +27,11 @@
         silence_ms: 300,
         ..Limits::default()
     };
+    site_from(settings).await
+}
+
+/// A site with these settings, one workspace and one table.
+pub(crate) async fn site_from(settings: SiteSettings) -> Site {
     let site = Site::start(settings).await.expect("site");
     site.open_workspace(WORKSPACE, SERVICE)
         .await
--- a/crates/hemlockcrank_host/tests/site/leaving.rs
+++ b/crates/hemlockcrank_host/tests/site/leaving.rs
@@ -3,8 +3,13 @@
 use std::time::Duration;
 
 use hemlockcrank_core::record::Kind;
+use hemlockcrank_host::settings::Limits;
+use hemlockcrank_standin::SiteSettings;
 
-use crate::fixture::{DATABASE, connect, eventually, outcome, save, sees, site, sqlstate, stored};
+use crate::fixture::{
+    DATABASE, EVENTUALLY_LIMIT, connect, eventually, group, outcome, save, sees, site, site_from,
+    sqlstate, stored,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_zone_taken_out_gets_no_new_work_and_its_primary_moves() {
@@ -137,3 +142,29 @@
         "the stopped host is still in the view"
     );
 }
+
+/// Guards against an open transaction that goes on until the process ends and is cut then.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_open_transaction_is_ended_by_a_shutdown_and_its_caller_is_told() {
+    let mut settings = SiteSettings::new(&["z1", "z2", "z3"], vec![group()]);
+    settings.limits = Limits {
+        drain_ms: 120_000,
+        transaction_drain_ms: 500,
+        ..Limits::default()
+    };
+    let mut site = site_from(settings).await;
+    let client = connect(&site, 2).await;
+    client.batch_execute("BEGIN").await.expect("begin");
+    save(&client, "open").await.expect("save");
+    let host = site.take_daemon(2).expect("host");
+
+    let stopped = tokio::time::timeout(EVENTUALLY_LIMIT, host.shut_down()).await;
+
+    assert!(stopped.is_ok(), "the shutdown waits for the transaction");
+    let refused = save(&client, "late").await.expect_err("the host has left");
+    assert!(
+        client.is_closed() || sqlstate(&refused) == "57P01",
+        "{refused:?}"
+    );
+    assert_eq!((stored(&site, "open"), stored(&site, "late")), (0, 0));
+}
