--- a/crates/hemlockcrank_core/tests/succession/main.rs
+++ b/crates/hemlockcrank_core/tests/succession/main.rs
@@ -1,5 +1,6 @@
 //! Changes of primary in a group whose members replicate without help from the proxy.
 
+mod calls;
 mod model;
 mod random;
 mod steps;
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -1,4 +1,6 @@
-//! A caller's session: reads statements, runs them and writes the replies.
+//! A caller's session: reads statements and runs them. The replies are written in `output`.
+
+mod output;
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -14,7 +16,7 @@
 use super::{
     CallerMessage, Code, PreparedStatement, Proxy, Reply, Statement, Status,
     admission::{Operation, Refusal},
-    member_connection::{Answer, SessionValues},
+    member_connection::SessionValues,
     read::{Body, Execution},
     transaction::{Step, Transaction},
 };
@@ -415,85 +417,6 @@
             deadline,
         }
     }
-
-    // ---------------------------------------------------------------------------------------------
-    // Output
-
-    fn status(&self) -> Status {
-        match &self.transaction {
-            None => Status::Idle,
-            Some(transaction) if transaction.failed => Status::Failed,
-            Some(_) => Status::Open,
-        }
-    }
-
-    fn write_reply(&mut self, reply: &Reply<'_>) {
-        (self.proxy.protocol.write_caller)(&mut self.output, reply);
-    }
-
-    fn reply_done(&mut self) {
-        self.write_reply(&Reply::Done(None));
-        let status = self.status();
-        self.write_reply(&Reply::Ready(status, None));
-    }
-
-    fn reply_failed(&mut self, code: Code, reason: &str) {
-        self.write_reply(&Reply::Failed(code, reason.as_bytes()));
-        let status = self.status();
-        self.write_reply(&Reply::Ready(status, None));
-    }
-
-    fn reply_refused(&mut self, id: &Name, refusal: &Refusal) {
-        self.emit_refusal(id, refusal);
-        self.reply_failed(refusal.code, refusal.reason);
-    }
-
-    fn reply_answer(&mut self, answer: &Answer, status: Status) {
-        for row in &answer.rows {
-            self.write_reply(&Reply::Row(row));
-        }
-        match &answer.outcome {
-            Ok(signature) => self.write_reply(&Reply::Done(Some(signature))),
-            Err((code, text)) => self.write_reply(&Reply::Failed(*code, text)),
-        }
-        self.write_reply(&Reply::Ready(status, answer.position));
-    }
-
-    /// Emits the event of a refused operation.
-    fn emit_refusal(&self, id: &Name, refusal: &Refusal) {
-        let host_state = self.proxy.host_state();
-        let event = match refusal.code {
-            Code::InDoubt => Event::OutcomeUnknown,
-            _ => Event::NotRun,
-        };
-        let catalog = &host_state.state.catalog;
-        let workspace = self
-            .key
-            .as_ref()
-            .and_then(|key| catalog.workspace_by_key(key));
-        let workspace = workspace.map_or("-", |workspace| workspace);
-        let fields: [(&str, &dyn std::fmt::Display); 8] = [
-            ("id", id),
-            ("workspace", &workspace),
-            ("database", &self.database),
-            ("code", &refusal.code),
-            ("reason", &refusal.reason),
-            ("trail", &refusal.trail),
-            ("configuration", &catalog.version()),
-            ("lease_ms", &host_state.lease.remaining(now_ms())),
-        ];
-        self.proxy.timeline.emit(event, &fields);
-        self.proxy.metrics.count_refusal(refusal.reason);
-    }
-
-    async fn flush(&mut self) -> Result<(), End> {
-        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&self.output)).await;
-        self.output.clear();
-        match written {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(End::Disconnected),
-        }
-    }
 }
 
 async fn read_more(stream: &mut TcpStream, input: &mut BytesMut) -> Result<(), End> {
--- /dev/null
+++ b/crates/hemlockcrank_host/src/engine/session/output.rs
@@ -0,0 +1,89 @@
+//! Replies of a session to its caller.
+
+use hemlockcrank_core::Name;
+use tokio::{io::AsyncWriteExt, time::timeout};
+
+use super::{End, Session, WRITE_TIMEOUT};
+use crate::{
+    clock::now_ms,
+    engine::{Code, Reply, Status, admission::Refusal, member_connection::Answer},
+    event::Event,
+};
+
+impl Session {
+    pub(super) fn status(&self) -> Status {
+        match &self.transaction {
+            None => Status::Idle,
+            Some(transaction) if transaction.failed => Status::Failed,
+            Some(_) => Status::Open,
+        }
+    }
+
+    pub(super) fn write_reply(&mut self, reply: &Reply<'_>) {
+        (self.proxy.protocol.write_caller)(&mut self.output, reply);
+    }
+
+    pub(super) fn reply_done(&mut self) {
+        self.write_reply(&Reply::Done(None));
+        let status = self.status();
+        self.write_reply(&Reply::Ready(status, None));
+    }
+
+    pub(super) fn reply_failed(&mut self, code: Code, reason: &str) {
+        self.write_reply(&Reply::Failed(code, reason.as_bytes()));
+        let status = self.status();
+        self.write_reply(&Reply::Ready(status, None));
+    }
+
+    pub(super) fn reply_refused(&mut self, id: &Name, refusal: &Refusal) {
+        self.emit_refusal(id, refusal);
+        self.reply_failed(refusal.code, refusal.reason);
+    }
+
+    pub(super) fn reply_answer(&mut self, answer: &Answer, status: Status) {
+        for row in &answer.rows {
+            self.write_reply(&Reply::Row(row));
+        }
+        match &answer.outcome {
+            Ok(signature) => self.write_reply(&Reply::Done(Some(signature))),
+            Err((code, text)) => self.write_reply(&Reply::Failed(*code, text)),
+        }
+        self.write_reply(&Reply::Ready(status, answer.position));
+    }
+
+    /// Emits the event of a refused operation.
+    pub(super) fn emit_refusal(&self, id: &Name, refusal: &Refusal) {
+        let host_state = self.proxy.host_state();
+        let event = match refusal.code {
+            Code::InDoubt => Event::OutcomeUnknown,
+            _ => Event::NotRun,
+        };
+        let catalog = &host_state.state.catalog;
+        let workspace = self
+            .key
+            .as_ref()
+            .and_then(|key| catalog.workspace_by_key(key));
+        let workspace = workspace.map_or("-", |workspace| workspace);
+        let fields: [(&str, &dyn std::fmt::Display); 8] = [
+            ("id", id),
+            ("workspace", &workspace),
+            ("database", &self.database),
+            ("code", &refusal.code),
+            ("reason", &refusal.reason),
+            ("trail", &refusal.trail),
+            ("configuration", &catalog.version()),
+            ("lease_ms", &host_state.lease.remaining(now_ms())),
+        ];
+        self.proxy.timeline.emit(event, &fields);
+        self.proxy.metrics.count_refusal(refusal.reason);
+    }
+
+    pub(super) async fn flush(&mut self) -> Result<(), End> {
+        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&self.output)).await;
+        self.output.clear();
+        match written {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(End::Disconnected),
+        }
+    }
+}
