--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -229,6 +229,11 @@
         self.nominees.get(service)
     }
 
+    /// Whether the same members are nominated in `other`.
+    pub fn has_nominees_of(&self, other: &Self) -> bool {
+        self.nominees == other.nominees
+    }
+
     /// Service and data of the member with that name.
     pub fn find(&self, member: &str) -> Option<(&Name, &Member)> {
         let mut groups = self.groups.iter();
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -291,8 +291,8 @@
             Message::Status(port) => reply(port, self.status()),
         }
         self.note_role();
-        if !Arc::ptr_eq(&groups, &self.state.groups) {
-            // The next step of a change of primary follows the last one at once.
+        if !self.state.groups.has_nominees_of(&groups) {
+            // The call for a nominated member follows its nomination at once.
             self.run_successions(now_ms())?;
         }
         Ok(())
