A host never takes itself for the leader that it follows; a late answer settles a call

Cause: a leader that had left the group polled others that still named it, stored itself as the leader, named itself to every host that asked, and asked itself to join; leases ended although there was a new leader.

Found by reading the diff: an accepted call whose answer came after the end of its change held up the next planned change for 10 s. calls::an_answer_after_the_end_of_its_change_settles_the_call failed before.

The test control_hosts_take_part_again_... panicked once where a session was refused while it waited for a save (the wait is for exactly that); it waits for the session too now, with the same conditions.

--- a/crates/hemlockcrank_core/src/succession/calls.rs
+++ b/crates/hemlockcrank_core/src/succession/calls.rs
@@ -48,6 +48,8 @@
     sent_at: Option<u64>,
     /// Member that was not running according to the latest answer in the current change.
     not_running: Option<Name>,
+    /// Primary when the latest change began or ended.
+    primary: Option<Name>,
 }
 
 impl Calls {
@@ -70,6 +72,7 @@
     pub(super) fn begin(&mut self, primary: Option<&Name>) {
         self.sent_at = None;
         self.not_running = None;
+        self.primary = primary.cloned();
         self.open
             .retain(|call| call.state != CallState::Accepted || primary != Some(&call.member));
     }
@@ -111,7 +114,11 @@
     ) -> Option<Call> {
         let index = self.open.iter().position(|call| call.number == number)?;
         let call = self.open[index].clone();
+        let is_carried_out = call.change != change && self.primary.as_ref() == Some(&call.member);
         match reply {
+            PromotionReply::Accepted if is_carried_out => {
+                self.open.swap_remove(index);
+            }
             PromotionReply::Accepted => self.open[index].state = CallState::Accepted,
             PromotionReply::Unknown => self.open[index].state = CallState::Unclear,
             PromotionReply::NotRunning | PromotionReply::NotSent => {
--- a/crates/hemlockcrank_core/tests/succession/calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/calls.rs
@@ -242,3 +242,23 @@
     assert_eq!(site.change(), None);
     assert_ne!(site.lead().member, nominee);
 }
+
+/// Guards against a service that waits with its next change because an answer came after the end of
+/// the last one.
+#[test]
+fn an_answer_after_the_end_of_its_change_settles_the_call() {
+    let mut site = Site::new();
+    site.platform = Some(Platform {
+        effect_ms: 300,
+        answer_ms: Some(1_200),
+    });
+    begin_planned_change(&mut site);
+    while site.change().is_some() {
+        site.ticks(1);
+    }
+    assert!(site.groups().unsettled("ledger").is_some());
+
+    site.ticks(2 * TICKS_PER_SECOND);
+
+    assert_eq!(site.groups().unsettled("ledger"), None);
+}
--- a/crates/hemlockcrank_host/src/control/actor/polling.rs
+++ b/crates/hemlockcrank_host/src/control/actor/polling.rs
@@ -118,6 +118,8 @@
             }
             Some(FetchReply::NotLeader { leader, address }) => {
                 self.followers.repeat_uses();
+                // A host that does not know yet that this one leads no more may name it.
+                let leader = leader.filter(|name| *name != self.host.name);
                 let known_address = leader.as_ref().and_then(|name| self.address_of(name));
                 self.poller
                     .note_redirect(now, leader.zip(known_address.or(address)));
@@ -151,7 +153,7 @@
 
     fn apply_leader_status(&mut self, asked_at: u64, now: u64, status: LeaderStatus) {
         self.primaries.apply_leader_status(asked_at, now, &status);
-        if let Some(leader) = status.leader {
+        if let Some(leader) = status.leader.filter(|name| *name != self.host.name) {
             self.poller.note_leader(leader);
         }
         if let Some(division) = status.division {
--- a/crates/hemlockcrank_host/tests/site/disks.rs
+++ b/crates/hemlockcrank_host/tests/site/disks.rs
@@ -1,12 +1,12 @@
 //! Disks of control hosts that refuse writes for a while.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, time::Duration};
 
-use hemlockcrank_core::record::Kind;
+use hemlockcrank_core::{lease, record::Kind};
 use hemlockcrank_standin::Site;
 use hemlockctl::ClientError;
 
-use crate::fixture::{WORKSPACE, connect, eventually, save, site};
+use crate::fixture::{KEY, SERVICE, WORKSPACE, eventually, save, site};
 
 /// Number of changes after which every control host has written a snapshot: more than the log keeps.
 const CHANGES: u64 = 300;
@@ -44,6 +44,14 @@
     revision
 }
 
+/// Whether a host accepts a session and a save.
+async fn saves_at(site: &Site, host: usize) -> bool {
+    match site.connect(host, WORKSPACE, KEY, SERVICE).await {
+        Ok(client) => save(&client, "meanwhile").await.is_ok(),
+        Err(_) => false,
+    }
+}
+
 /// Whether a host takes part in the control group.
 async fn takes_part(site: &Site, host: usize) -> bool {
     let daemon = site.daemon(host).expect("host");
@@ -76,11 +84,7 @@
         revise(&site, 0, revision, 4).await >= revision + 4
     })
     .await;
-    eventually("a save is accepted", async || {
-        let client = connect(&site, 1).await;
-        save(&client, "after").await.is_ok()
-    })
-    .await;
+    eventually("a save is accepted", async || saves_at(&site, 1).await).await;
 }
 
 /// Guards against callers at an entry host with a disk that are refused while it cannot be written:
@@ -97,14 +101,44 @@
     .await;
 
     eventually("a save is accepted at the host", async || {
-        let client = site.connect(0, WORKSPACE, crate::fixture::KEY, crate::fixture::SERVICE);
-        match client.await {
-            Ok(client) => save(&client, "meanwhile").await.is_ok(),
-            Err(_) => false,
-        }
+        saves_at(&site, 0).await
     })
     .await;
     let revised = revise(&site, 0, revision, 1).await;
 
     assert_eq!(revised, revision + 1);
 }
+
+/// Guards against a host that names itself as the leader after it has left the control group: the
+/// others asked it again and again, and their leases ended although there was a new leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_site_serves_while_the_disk_of_its_leader_refuses_writes() {
+    let site = site().await;
+    site.set_rate(WORKSPACE, 1_000, 1_000).await.expect("rate");
+    let leader = site.leader().await.expect("leader");
+    let others: Vec<usize> = (0..3).filter(|host| *host != leader).collect();
+    refuse_snapshots(&site, leader, true);
+    revise(&site, others[0], 1, CHANGES).await;
+    eventually("the leader left the control group", async || {
+        !takes_part(&site, leader).await
+    })
+    .await;
+
+    eventually("every host has a lease", async || {
+        // Longer than a lease, so that it has been renewed by the new leader.
+        tokio::time::sleep(Duration::from_millis(lease::DURATION_MS + 500)).await;
+        let mut hosts = (0..3).filter_map(|host| site.daemon(host));
+        hosts.all(|daemon| daemon.context().control.host_state().has_lease())
+    })
+    .await;
+
+    for host in 0..3 {
+        let status = site.daemon(host).expect("host").context().control.status();
+        let named = status.await.and_then(|status| status.leader);
+        assert_ne!(
+            named,
+            Some(site.settings[leader].host.clone()),
+            "host {host}"
+        );
+    }
+}
