--- a/crates/hemlockcrank/tests/processes.rs
+++ b/crates/hemlockcrank/tests/processes.rs
@@ -64,13 +64,25 @@
     site
 }
 
+/// Log lines of all hosts.
+fn logs(site: &Site) -> String {
+    let hosts = site.settings.iter();
+    let logs = hosts.map(|settings| {
+        let file = site.folder.join(format!("{}.log", settings.host));
+        let log = std::fs::read_to_string(file).unwrap_or_default();
+        format!("{}: {}\n{log}", settings.host, settings.listen.peer)
+    });
+    logs.collect()
+}
+
 async fn wait_ready(site: &Site) {
     let operator = operator(site, 0);
     let started = Instant::now();
     loop {
         assert!(
             started.elapsed() < READY_TIMEOUT,
-            "the site was not ready in time"
+            "the site was not ready in time: {}",
+            logs(site)
         );
         let hosts = operator
             .status()
