--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -20,7 +20,7 @@
 //!    The nomination is committed ([`Edit::Nominate`]) before the platform is asked to promote the
 //!    member. The platform may answer late or never, and may carry out a call after the answer was
 //!    given up, so no other member is promoted until the call certainly has no effect any more; this
-//!    binds later control leaders too ([`calls`]).
+//!    binds later control leaders too (module `calls`).
 //! 4. Once the member is primary and no host can act on the old term any more, [`Edit::Finish`]
 //!    grants the new term.
 
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -202,7 +202,7 @@
             HOST_TICK
         };
         myself.send_interval(tick, || Message::Tick);
-        Ok(ActorState::new(arguments, myself)?)
+        Ok(ActorState::new(arguments, myself))
     }
 
     async fn handle(
@@ -220,11 +220,11 @@
 }
 
 impl ActorState {
-    fn new(arguments: Arguments, myself: ActorRef<Message>) -> Result<Self, JournalError> {
+    fn new(arguments: Arguments, myself: ActorRef<Message>) -> Self {
         let host = arguments.host;
         let (group, state) = arguments.group.unzip();
         let seed = host.incarnation ^ u64::from(std::process::id()) ^ name_seed(&host.name);
-        Ok(Self {
+        Self {
             settings: arguments.settings,
             host,
             peers: arguments.peers,
@@ -257,7 +257,7 @@
             draining: false,
             leaving: false,
             published: None,
-        })
+        }
     }
 
     /// Handles one message. After an error this host must leave the group.
