Open transactions leave a zone that was evacuated

Callers' statements in transactions that were open at an evacuation went on reaching members of the zone past evacuateMs: new work was kept away, open transactions were not looked at again.

Change: a session with an open transaction is notified of changes to zones. From then on the transaction has limits.zone_drain_ms (new, 2,500) to end; then it is rolled back between two statements, and the next one is refused as not run. A statement that retries at a busy member looks at the same time. Holds at the primary too. Waking sessions no longer extends the idle time of their transactions.

--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -18,11 +18,10 @@
     admission::{Operation, Refusal},
     member_connection::SessionValues,
     read::{Body, Execution},
-    transaction::{Step, Transaction},
+    transaction::{Step, Transaction, ZONE_OUT},
 };
 use crate::{
     clock::now_ms,
-    control::HostState,
     event::Event,
     phase::{self, Phase},
 };
@@ -41,6 +40,9 @@
 /// Why a statement is refused, or a transaction rolled back, late in a graceful shutdown.
 const SHUTTING_DOWN: &str = "this host is shutting down";
 
+/// Why a transaction without a statement is rolled back.
+const IDLE_TOO_LONG: &str = "the transaction was idle for too long";
+
 /// Why a session ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -72,11 +74,14 @@
     /// is told.
     rolled_back: Option<&'static str>,
     phase: watch::Receiver<Phase>,
+    /// Notified of changes to availability zones, among others.
+    changes: watch::Receiver<u64>,
 }
 
 impl Session {
     pub(crate) fn new(proxy: Arc<Proxy>, stream: TcpStream) -> Self {
         let phase = proxy.phase.clone();
+        let changes = proxy.control.watch_changes();
         Self {
             proxy,
             stream,
@@ -90,6 +95,7 @@
             transaction: None,
             rolled_back: None,
             phase,
+            changes,
         }
     }
 
@@ -139,30 +145,51 @@
     // Input
 
     /// Reads the next message. Ends the session if it is idle while the host shuts down, and rolls
-    /// back a transaction that has been idle for too long or that the shutdown does not wait for.
+    /// back a transaction that has been idle for too long, that the shutdown does not wait for, or
+    /// whose member is in an availability zone that was taken out of service.
     async fn next_message(&mut self) -> Result<CallerMessage, End> {
+        let mut idle_since = now_ms();
         loop {
             let phase = *self.phase.borrow_and_update();
             if phase >= Phase::Closing {
                 self.roll_back(SHUTTING_DOWN);
             }
+            self.changes.mark_unchanged();
+            let rollback = self.next_rollback(idle_since);
             if let Some(message) = self.parse()? {
                 return Ok(message);
             }
-            let host_state = self.proxy.host_state();
             let idle = self.transaction.is_none() && self.input.is_empty();
             if phase >= Phase::Ending || (phase >= Phase::Draining && idle) {
                 return Err(End::Draining);
             }
-            let limit = self.idle_limit(&host_state);
+            let due = rollback.map(|(at, _)| Duration::from_millis(at.saturating_sub(now_ms())));
             tokio::select! {
-                read = read_more(&mut self.stream, &mut self.input) => read?,
+                read = read_more(&mut self.stream, &mut self.input) => {
+                    read?;
+                    idle_since = now_ms();
+                }
                 () = phase::changed(&mut self.phase) => {}
-                () = sleep_or_never(limit) => self.roll_back("the transaction was idle for too long"),
+                () = phase::changed(&mut self.changes), if self.transaction.is_some() => {}
+                () = sleep_or_never(due) => {
+                    let reason = rollback.map_or(ZONE_OUT, |(_, reason)| reason);
+                    self.roll_back(reason);
+                }
             }
         }
     }
 
+    /// When and why the open transaction is rolled back if no statement comes before, in milliseconds
+    /// of local time.
+    fn next_rollback(&mut self, idle_since: u64) -> Option<(u64, &'static str)> {
+        let idle_ms = self.proxy.host_state().state.catalog.transaction_idle_ms();
+        let transaction = self.transaction.as_mut().filter(|open| !open.failed)?;
+        let idle = (idle_ms > 0).then(|| (idle_since + idle_ms, IDLE_TOO_LONG));
+        let zone = transaction.note_zone(&self.proxy);
+        let zone = zone.map(|leave_at| (leave_at, ZONE_OUT));
+        idle.into_iter().chain(zone).min()
+    }
+
     /// Rolls back the open transaction between two statements of the caller.
     fn roll_back(&mut self, reason: &'static str) {
         if let Some(transaction) = self.transaction.as_mut().filter(|open| !open.failed) {
@@ -172,16 +199,6 @@
         }
     }
 
-    /// Time limit of an open transaction without a statement.
-    fn idle_limit(&self, host_state: &HostState) -> Option<Duration> {
-        let open = self
-            .transaction
-            .as_ref()
-            .is_some_and(|transaction| !transaction.failed);
-        let limit_ms = host_state.state.catalog.transaction_idle_ms();
-        (open && limit_ms > 0).then(|| Duration::from_millis(limit_ms))
-    }
-
     async fn read_message(&mut self) -> Result<CallerMessage, End> {
         loop {
             if let Some(message) = self.parse()? {
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -19,11 +19,17 @@
 /// Time limit for a rollback at a member.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Why a transaction is rolled back at a member of a zone that was taken out of service.
+pub(crate) const ZONE_OUT: &str = "the member's availability zone is out of service";
+
 /// Connection of a transaction that has begun at a member, with a guard if that is the primary.
 #[derive(Debug)]
 struct PinnedConnection {
     pooled: PooledConnection,
     guard: Option<Guard>,
+    /// Set while the member's availability zone is out of service: local time after which nothing is
+    /// sent to the member any more, in milliseconds.
+    leave_at: Option<u64>,
     _in_flight: InFlight,
 }
 
@@ -70,6 +76,23 @@
         self.wrote
     }
 
+    /// Notes whether the member's availability zone is out of service. Returns the local time by which
+    /// the transaction has to end there, in milliseconds; `None` if it may go on.
+    pub(crate) fn note_zone(&mut self, proxy: &Proxy) -> Option<u64> {
+        let pinned = self.pinned.as_mut()?;
+        let host_state = proxy.host_state();
+        let groups = &host_state.state.groups;
+        let group = groups.get(&self.operation.route.service)?;
+        let member = group.members.get(&pinned.pooled.target().member)?;
+        pinned.leave_at = match groups.zone_in_service(&member.zone) {
+            true => None,
+            false => pinned
+                .leave_at
+                .or(Some(now_ms() + proxy.settings.limits.zone_drain_ms)),
+        };
+        pinned.leave_at
+    }
+
     /// Runs a statement. The first statement chooses the member for the whole transaction.
     ///
     /// # Errors
@@ -227,6 +250,7 @@
         Ok(PinnedConnection {
             pooled,
             guard: choice.guard,
+            leave_at: None,
             _in_flight: in_flight,
         })
     }
@@ -239,6 +263,7 @@
         step: Step,
     ) -> Result<Answer, Refusal> {
         let service = self.operation.route.service.clone();
+        let leave_at = self.note_zone(proxy);
         let Some(pinned) = &mut self.pinned else {
             return Err(Refusal::new(Code::Aborted, "the transaction has ended"));
         };
@@ -258,6 +283,9 @@
             if now >= execution.deadline {
                 return refuse(Code::Aborted, "no place at the member in time", "busy");
             }
+            if leave_at.is_some_and(|leave_at| now >= leave_at) {
+                return refuse(Code::Aborted, ZONE_OUT, "out of service");
+            }
             let is_current = pinned.guard.as_ref().is_none_or(Guard::is_current);
             if !is_current {
                 return refuse(Code::Aborted, "the primary is being replaced", "released");
--- a/crates/hemlockcrank_host/src/phase.rs
+++ b/crates/hemlockcrank_host/src/phase.rs
@@ -23,9 +23,9 @@
     }
 }
 
-/// Waits until the phase changes; for ever once it cannot any more.
-pub(crate) async fn changed(phases: &mut watch::Receiver<Phase>) {
-    if phases.changed().await.is_err() {
+/// Waits until the value changes; for ever once it cannot any more.
+pub(crate) async fn changed<T>(values: &mut watch::Receiver<T>) {
+    if values.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -148,6 +148,9 @@
     /// Time that open transactions have to end in a graceful shutdown, in milliseconds; no longer
     /// than `drain_ms`.
     pub transaction_drain_ms: u64,
+    /// Time that open transactions have to end at members of an availability zone that was taken out
+    /// of service, in milliseconds.
+    pub zone_drain_ms: u64,
     /// Time without data after which the connection of a running statement is checked, in
     /// milliseconds.
     pub silence_ms: u64,
@@ -164,6 +167,7 @@
             acknowledge_ms: 10_000,
             drain_ms: 30_000,
             transaction_drain_ms: 15_000,
+            zone_drain_ms: 2_500,
             silence_ms: 1_000,
             replica_reads: true,
         }
