A late RESUME ends no pause that a promotion rests on, a late PAUSE does not last

Callers could lose acknowledged commits: an order to end a pause, of an earlier change and sent again since, is carried out by the member after it has answered a pause of the next change. The member then receives commits from the old primary, hosts that have not heard of the change acknowledge them, and another member is promoted without them.

Cause: RESUME has no number, and each order goes on a connection of its own. STEPDOWN has a term and is safe: the randomised run carries it out late too. PAUSE has one, but a replica that has not followed the new primary yet takes a late one; it then stayed paused for good.

Change: the succession keeps the time of orders without an answer (open_orders). A member with an open PAUSE is resumed once more when that is settled.

In the model a member learns the term of the primary that it receives from, as members do.

--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -26,6 +26,7 @@
 
 mod calls;
 mod change;
+mod open_orders;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -35,6 +36,7 @@
     session::Position,
 };
 use calls::Calls;
+use open_orders::OpenOrders;
 
 /// Interval between two orders to a member that answers, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 250;
@@ -204,6 +206,10 @@
     promoted: Option<(Name, u64)>,
     /// Members that may be paused.
     to_resume: BTreeSet<Name>,
+    /// Orders to end a pause.
+    resumes: OpenOrders,
+    /// Orders to begin a pause.
+    pauses: OpenOrders,
     /// The latest proposal, and when it was made.
     proposed: Option<(u64, Edit)>,
     calls: Calls,
@@ -220,9 +226,11 @@
     /// account that may still be carried out.
     pub fn new(now: u64, groups: &Groups, service: &str) -> Self {
         let members = groups.get(service).map(|group| group.members.keys());
+        let members: BTreeSet<Name> = members.into_iter().flatten().cloned().collect();
         let unsettled = groups.unsettled(service);
         Self {
-            to_resume: members.into_iter().flatten().cloned().collect(),
+            resumes: OpenOrders::new(now, &members),
+            to_resume: members,
             calls: Calls::new(now, unsettled),
             ..Self::default()
         }
@@ -256,6 +264,8 @@
             if last.is_some_and(|last| last != born) {
                 self.rows.remove(name);
                 self.polling.remove(name);
+                self.resumes.forget(name);
+                self.pauses.forget(name);
             }
         }
         self.born.retain(|name, _| group.members.contains_key(name));
@@ -268,6 +278,12 @@
             return;
         };
         polling.in_flight = false;
+        let answered = reply != OrderReply::Nothing;
+        match order {
+            Order::Resume(_) => self.resumes.settle(member, answered),
+            Order::Pause(..) => self.pauses.settle(member, answered),
+            _ => {}
+        }
         let row = match reply {
             OrderReply::Row(row) => row,
             OrderReply::Busy => {
@@ -285,9 +301,12 @@
         polling.retry_at = now + POLL_INTERVAL_MS;
         let (fenced, asked_at) = (polling.fenced, polling.asked_at);
         match order {
-            Order::Resume(_) => {
-                self.to_resume.remove(member);
-            }
+            Order::Resume(_) => match self.pauses.settled_at(member).filter(|at| now < *at) {
+                Some(settled_at) => polling.retry_at = settled_at,
+                None => {
+                    self.to_resume.remove(member);
+                }
+            },
             Order::StepDown(..) if !row.primary && self.outgoing.as_ref() == Some(member) => {
                 self.final_position = Some(row.received);
                 self.final_asked_at = asked_at;
@@ -398,6 +417,8 @@
             return self.begin(now, inputs, lead.term, true);
         }
         let mut orders = Vec::new();
+        // A promotion ends a pause, and a primary is never paused.
+        self.to_resume.remove(&lead.member);
         let may_be_paused: Vec<Name> = self.to_resume.iter().cloned().collect();
         for member in may_be_paused {
             orders.extend(self.send(now, false, Order::Resume(member)));
@@ -476,9 +497,14 @@
         polling.in_flight = true;
         polling.asked_at = now;
         polling.fenced = fenced;
-        if let Order::Pause(member, _) = &order {
-            // Even without an answer the member may be paused.
-            self.to_resume.insert(member.clone());
+        match &order {
+            Order::Pause(member, _) => {
+                // Even without an answer the member may be paused.
+                self.to_resume.insert(member.clone());
+                self.pauses.send(now, member);
+            }
+            Order::Resume(member) => self.resumes.send(now, member),
+            _ => {}
         }
         Some(order)
     }
--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -31,8 +31,11 @@
         let lead = inputs.group.lead.as_ref()?;
         let term = self.next_term(inputs.group);
         let others = others(inputs.group);
-        let paused = others.iter().filter_map(|name| self.rows.get(name));
-        let paused: Vec<&MemberRow> = paused.filter(|latest| latest.row.held >= term).collect();
+        let rows = others
+            .iter()
+            .filter_map(|name| self.rows.get_key_value(name));
+        let paused = rows.filter(|(name, latest)| self.stays_paused(now, name, latest, term));
+        let paused: Vec<&MemberRow> = paused.map(|(_, latest)| latest).collect();
         let all_paused = self.has_all_copies(now, inputs.group)
             && paused.len() == others.len()
             && others.len() > inputs.sync_replicas as usize
@@ -252,6 +255,13 @@
         has_all || now >= self.began_at + DEPARTURE_MAX_WAIT_MS
     }
 
+    /// Whether a member is paused, and either no late order ends the pause or nothing can be
+    /// acknowledged any more.
+    fn stays_paused(&self, now: u64, name: &Name, latest: &MemberRow, term: u64) -> bool {
+        let settled = latest.fenced || !self.resumes.may_arrive(now, name);
+        latest.row.held >= term && settled
+    }
+
     /// The best member that provably holds every acknowledged commit; `None` without a proof.
     fn candidate(&self, now: u64, inputs: &Inputs<'_>, term: u64) -> Option<Name> {
         let accepts_work = |name: &Name| {
@@ -275,13 +285,13 @@
             .iter()
             .filter_map(|name| self.rows.get_key_value(name))
             .collect();
-        let paused = |latest: &MemberRow| {
-            latest.row.held >= term
+        let paused = |name: &Name, latest: &MemberRow| {
+            self.stays_paused(now, name, latest, term)
                 && (latest.fenced || now < latest.received_at + PAUSE_MAX_AGE_MS)
         };
         let all_paused = self.has_all_copies(now, group)
             && rows.len() == others.len()
-            && rows.iter().all(|(_, latest)| paused(latest))
+            && rows.iter().all(|(name, latest)| paused(name, latest))
             && others.len() > inputs.sync_replicas as usize
             && inputs.sync_replicas > 0;
         let most_advanced = rows.iter().map(|(_, latest)| latest.row.received).max();
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -96,6 +96,10 @@
     calls: Vec<Call>,
     /// Answers of members that are on their way, with the time of their arrival.
     answers: Vec<(u64, Name, Order, OrderReply)>,
+    /// Orders whose answers were lost that members carry out later, with the time.
+    late_orders: Vec<(u64, Name, Order)>,
+    /// Time until a member carries out an order whose answer is lost, in milliseconds; `None`: never.
+    pub(crate) late_order_ms: Option<u64>,
     leadership: u64,
     /// Newest acknowledged commit, reported to the leader by [`Site::release`].
     newest_acknowledged: Position,
@@ -119,6 +123,8 @@
             promoted: Vec::new(),
             calls: Vec::new(),
             answers: Vec::new(),
+            late_orders: Vec::new(),
+            late_order_ms: None,
             leadership: 0,
             newest_acknowledged: Position::default(),
             next_commit: 0,
@@ -237,6 +243,7 @@
                 continue;
             }
             target.log.clone_from(&log);
+            target.term = primary.term;
             copies += 1;
         }
         let in_use = self.lead().term == primary.term && !self.fencing.complete;
@@ -272,6 +279,7 @@
     {
         self.now += TICK_MS;
         self.run_platform();
+        self.carry_out_late_orders();
         self.deliver_answers();
         let groups: Groups = Groups::clone(&self.state.groups);
         let service = Name::from(SERVICE);
@@ -332,7 +340,13 @@
                             false => OrderReply::Row(row),
                         }
                     }
-                    false => OrderReply::Nothing,
+                    false => {
+                        if let Some(after) = self.late_order_ms {
+                            let late = (now + after, member.clone(), order.clone());
+                            self.late_orders.push(late);
+                        }
+                        OrderReply::Nothing
+                    }
                 };
                 let arrives_at = now + self.members[&member].answer_ms;
                 self.answers
@@ -342,6 +356,17 @@
         }
     }
 
+    /// Carries out the orders that lay unread at members until now.
+    fn carry_out_late_orders(&mut self) {
+        let now = self.now;
+        for (at, member, order) in std::mem::take(&mut self.late_orders) {
+            match at <= now && !self.members[&member].down {
+                true => drop(self.apply_order(&member, &order)),
+                false => self.late_orders.push((at, member, order)),
+            }
+        }
+    }
+
     /// Passes the answers that have arrived to the leader.
     fn deliver_answers(&mut self) {
         let now = self.now;
--- a/crates/hemlockcrank_core/tests/succession/random.rs
+++ b/crates/hemlockcrank_core/tests/succession/random.rs
@@ -143,3 +143,47 @@
         assert_eq!(site.change(), None, "seed {seed}: {site:#?}");
     }
 }
+
+/// A host that has not heard of a change of primary goes on writing at the old primary.
+fn run_cut_off_host(site: &mut Site) {
+    if site.change().is_some() && !site.fencing.complete {
+        let primary: Name = site.lead().member.clone();
+        let others = MEMBERS.iter().copied();
+        let others: Vec<&str> = others.filter(|name| **name != *primary).collect();
+        site.write(&primary, &others);
+    }
+}
+
+/// Time after which a member carries out an order at the latest, in milliseconds.
+const LATEST_ORDER_MS: u32 = 4_000;
+
+/// Guards against a lost commit when an order to a member is carried out after a newer one that went
+/// on another connection: a late `RESUME` ends the pause that proves a promotion.
+#[rstest]
+fn members_that_carry_out_orders_late_lose_no_commit(#[values(0, 1, 2, 3, 4, 5, 6, 7)] block: u64) {
+    for seed in block * 50..(block + 1) * 50 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut site = Site::new();
+        for _ in 0..FAULTY_TICKS {
+            if one_in(&mut random, 20) {
+                inject_fault(&mut site, &mut random);
+            }
+            site.late_order_ms = Some(u64::from(random.next_u32() % LATEST_ORDER_MS));
+            site.platform = Some(Platform {
+                effect_ms: 600,
+                answer_ms: Some(600),
+            });
+            run_host(&mut site, &mut random);
+            run_cut_off_host(&mut site);
+            site.tick(|_| one_in(&mut random, 5));
+        }
+        heal(&mut site);
+        for _ in 0..FAULT_FREE_TICKS {
+            run_host(&mut site, &mut random);
+            site.tick(|_| false);
+        }
+        assert_eq!(site.change(), None, "seed {seed}: {site:#?}");
+        let paused = site.members.values().any(|member| member.paused_for > 0);
+        assert!(!paused, "seed {seed}: {site:#?}");
+    }
+}
