A host whose leader falls silent asks the next one, not the silent one again

Cause: after a poll without an answer a host went through all addresses in turn, the silent one included.

Change: core parent chooses whom to ask. The silent host is passed over while there is another, and the leader that this host's own part in the control group knows is asked first.

--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`state`]: the state machine on top of the log: [`record`]s, the view of live hosts
 //!   ([`membership`]), databases ([`directory`]) and [`placement`].
 //! - [`lease`]: how long a host may serve requests from its copy of the state.
-//! - [`updates`], [`relay`]: how hosts follow the log, and how those of a large site do so
+//! - [`updates`], [`relay`], [`parent`]: how hosts follow the log, and how those of a large site do so
 //!   without asking the leader.
 //! - [`session`], [`route`], [`request`], [`retry`]: processing of one statement.
 //! - [`failover`]: changes of primary.
@@ -41,6 +41,7 @@
 pub mod lease;
 pub mod membership;
 pub mod observation;
+pub mod parent;
 pub mod placement;
 pub mod queue;
 pub mod quota;
--- a/crates/hemlockcrank_host/src/control/actor/polling.rs
+++ b/crates/hemlockcrank_host/src/control/actor/polling.rs
@@ -28,7 +28,10 @@
         let addresses = self.possible_leaders();
         let relay = self.relay();
         let address = match (urgent, relay) {
-            (false, relay) => self.poller.start(now, relay, &addresses),
+            (false, relay) => {
+                let leader = self.known_leader();
+                self.poller.start(now, relay, leader, &addresses)
+            }
             (true, Some(_)) => self.poller.parent(),
             (true, None) => self.leader_address(),
         };
@@ -90,6 +93,14 @@
         relay.filter(|_| large && follows).map(|relay| relay.peer)
     }
 
+    /// Peer address of the leader according to this host's part in the control group, or to the last
+    /// answer.
+    fn known_leader(&self) -> Option<SocketAddr> {
+        let leader = self.leader_name();
+        let leader = leader.filter(|name| *name != self.host.name)?;
+        self.address_of(&leader)
+    }
+
     /// Peer addresses of the hosts that may lead: those in the settings and, with a platform, those
     /// in the view that serve control. This host is excluded.
     pub(super) fn possible_leaders(&self) -> Vec<SocketAddr> {
--- a/crates/hemlockcrank_host/src/control/poller.rs
+++ b/crates/hemlockcrank_host/src/control/poller.rs
@@ -6,6 +6,7 @@
     Name,
     lease::{self, Lease},
     membership::HostId,
+    parent::Parent,
 };
 
 /// Pause after the first poll that failed, or one that was redirected to the leader, in milliseconds;
@@ -34,9 +35,7 @@
     listed: BTreeSet<HostId>,
     pending_grant: Option<Grant>,
     leader: Option<Name>,
-    /// Address that answered the last poll, or that another host named as the leader's.
-    parent: Option<SocketAddr>,
-    next_address: usize,
+    parent: Parent,
     in_flight: bool,
     next_poll_at: u64,
     /// Polls without a grant since the last one that had one.
@@ -62,30 +61,24 @@
 
     /// Address that this host polls, if it is known.
     pub(crate) fn parent(&self) -> Option<SocketAddr> {
-        self.parent
+        self.parent.current()
     }
 
-    /// Starts a poll if one is due and returns its address: that of `relay` if there is one and it
-    /// has not failed lately, else the parent, else the next of `addresses`.
+    /// Starts a poll if one is due and returns its address; see [`Parent::choose`]. A relay that has
+    /// failed lately is passed over.
     pub(crate) fn start(
         &mut self,
         now: u64,
         relay: Option<SocketAddr>,
+        leader: Option<SocketAddr>,
         addresses: &[SocketAddr],
     ) -> Option<SocketAddr> {
         if self.in_flight || now < self.next_poll_at {
             return None;
         }
         let relay = relay.filter(|_| now >= self.relay_paused_until);
-        let address = match relay.or(self.parent) {
-            Some(address) => address,
-            None => {
-                self.next_address += 1;
-                *addresses.get(self.next_address % addresses.len().max(1))?
-            }
-        };
+        let address = self.parent.choose(relay, leader, addresses)?;
         self.in_flight = true;
-        self.parent = Some(address);
         Some(address)
     }
 
@@ -93,7 +86,7 @@
     pub(crate) fn note_failure(&mut self, now: u64) {
         self.in_flight = false;
         self.leader = None;
-        self.parent = None;
+        self.parent.note_silence();
         self.next_poll_at = now + (RETRY_MS << self.failures.min(MAX_DOUBLINGS));
         self.failures = self.failures.saturating_add(1);
         self.relay_paused_until = now + RELAY_PAUSE_MS;
@@ -104,7 +97,7 @@
         self.note_failure(now);
         if let Some((name, address)) = leader {
             self.leader = Some(name);
-            self.parent = Some(address);
+            self.parent.note_named(address);
             self.next_poll_at = now + RETRY_MS;
         }
     }
@@ -144,7 +137,7 @@
     /// Renews the lease of this host while it is the leader.
     pub(crate) fn renew_as_leader(&mut self, now: u64) {
         self.leader = None;
-        self.parent = None;
+        self.parent.clear();
         self.listed.clear();
         self.lease.renew(now, lease::DURATION_MS);
     }
