--- a/crates/hemlockcrank_host/src/contact.rs
+++ b/crates/hemlockcrank_host/src/contact.rs
@@ -15,7 +15,7 @@
 use hemlockcrank_core::{Name, arrival::Arrival, group::Groups};
 use tokio::{
     io,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::{sleep, timeout},
 };
 
@@ -27,6 +27,8 @@
 
 /// Longest interval between two looks at the connections that wait.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of connections that may wait.
+const BACKLOG: u32 = 1_024;
 /// Pause after a connection could not be accepted.
 const ERROR_PAUSE: Duration = Duration::from_millis(100);
 
@@ -108,8 +110,13 @@
         control: Control,
         timeline: Arc<Timeline>,
     ) -> io::Result<Self> {
-        let look = std::net::TcpListener::bind(address)?;
-        look.set_nonblocking(true)?;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let look = socket.listen(BACKLOG)?.into_std()?;
         Ok(Self {
             socket: TcpListener::from_std(look.try_clone()?)?,
             look,
