Ports of test sites are handed out once, and none that the system hands out

Cause: a fixture asked the system for a free port, closed it and asked again; the second answer can be the first one, and an outgoing connection from the same address can take it too.

--- a/crates/hemlockcrank_standin/src/lib.rs
+++ b/crates/hemlockcrank_standin/src/lib.rs
@@ -17,6 +17,7 @@
 mod group;
 mod link;
 mod member;
+mod port;
 mod server;
 mod site;
 
@@ -24,6 +25,7 @@
 pub use group::{Credentials, Group, GroupSettings};
 pub use link::Link;
 pub use member::{Member, MemberState};
+pub use port::free_address;
 pub use site::{
     OPERATOR_TOKEN, PLATFORM_TOKEN, Site, SiteError, SiteSettings, fresh_folder, host_settings,
 };
--- a/crates/hemlockcrank_standin/src/site.rs
+++ b/crates/hemlockcrank_standin/src/site.rs
@@ -17,7 +17,7 @@
 use thiserror::Error;
 use tokio_postgres::NoTls;
 
-use crate::{Group, GroupSettings, Link};
+use crate::{Group, GroupSettings, Link, port::free_address};
 
 /// Interval between two announcements of a member.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(100);
@@ -431,13 +431,10 @@
     std::env::temp_dir().join(name)
 }
 
-/// Three free ports, which stay bound until all are chosen so that they differ.
 fn free_addresses(ip: IpAddr) -> std::io::Result<Listen> {
-    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)));
-    let [caller, peer, operator] = listeners;
     Ok(Listen {
-        caller: Some(caller?.local_addr()?),
-        peer: peer?.local_addr()?,
-        operator: operator?.local_addr()?,
+        caller: Some(free_address(ip)?),
+        peer: free_address(ip)?,
+        operator: free_address(ip)?,
     })
 }
