--- a/crates/hemlockcrank/tests/soak/main.rs
+++ b/crates/hemlockcrank/tests/soak/main.rs
@@ -19,9 +19,12 @@
 #[path = "../../../../platform/tests/fixture/caller.rs"]
 mod caller;
 mod fault;
+#[path = "../../../../platform/tests/fixture/held.rs"]
+mod held;
 mod history;
 #[path = "../../../../platform/tests/fixture/operator.rs"]
 mod operator;
+mod orders;
 #[path = "../shared/process.rs"]
 mod process;
 mod proxy;
--- a/crates/hemlockcrank/tests/soak/site.rs
+++ b/crates/hemlockcrank/tests/soak/site.rs
@@ -69,7 +69,7 @@
     /// One proxy per member.
     proxies: Vec<Proxy>,
     /// HTTP addresses of the control hosts.
-    control_addresses: Vec<SocketAddr>,
+    pub(crate) control_addresses: Vec<SocketAddr>,
     folder: PathBuf,
     /// Version of the configuration that was submitted last.
     version: u64,
@@ -212,6 +212,31 @@
         submitted.await.is_ok()
     }
 
+    /// Sends an order to one control host after the other, from host `first` on, until one acknowledges
+    /// it.
+    pub(crate) async fn order(&self, method: &str, path: &str, first: usize) -> bool {
+        let client = client();
+        let method: reqwest::Method = method.parse().expect("a method");
+        let ordered = timeout(TIMEOUT, async {
+            for attempt in first.. {
+                let control = self.control_addresses[attempt % self.control_addresses.len()];
+                let url = format!("http://{control}{path}");
+                let response = client.request(method.clone(), url).send().await;
+                if response.is_ok_and(|response| response.status().is_success()) {
+                    return;
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        });
+        ordered.await.is_ok()
+    }
+
+    /// Sends a signal to the process of a control host.
+    pub(crate) fn signal_control(&self, host: usize, signal: &str) {
+        let process = self.controls[host].process.as_ref();
+        process.expect("a process").signal(signal);
+    }
+
     /// Reads the version of the configuration in force from the first control host that answers.
     pub(crate) async fn read_version(&self) -> Option<u64> {
         let client = client();
@@ -252,7 +277,7 @@
         }
     }
 
-    fn newest_key(&self) -> String {
+    pub(crate) fn newest_key(&self) -> String {
         format!("k{}", self.version - 1)
     }
 
