A member whose address a later one has taken does not come back by a late announcement

Callers could be sent to a member that is gone: b has an address, c starts there and b is removed, c departs, and a delayed announcement of b (or a repeat of it by a host whose answer was lost) adds b again. Nothing removes it any more.

Cause: the process whose address is taken was removed, but not remembered as departed; only the presence of the later member kept it out.

It plays random histories of all commands that hosts propose again, with late repeats; the state must be that without them.

--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -337,10 +337,15 @@
             return false;
         }
         let previous = self.member_at(notice.data.address);
-        if let Some(old) = previous.map(|(name, _)| name.clone())
+        if let Some((old, age)) = previous.map(|(name, data)| (name.clone(), data.age))
             && old != notice.member
         {
-            self.remove(index, &old);
+            // The process that had the address is gone, and a late announcement does not bring it back.
+            let age = Age {
+                seq: u64::MAX,
+                ..age
+            };
+            self.depart(index, &old, age);
         }
         let old_service = self
             .find(&notice.member)
