--- a/crates/hemlockcrank_core/src/arrival.rs
+++ b/crates/hemlockcrank_core/src/arrival.rs
@@ -8,7 +8,7 @@
 //! The order cannot have been sent before its connection was opened. Its [`Arrival`] is a moment
 //! before that, with the log index that was applied here then. What was committed up to there is
 //! older than the order; it must not undo anything later, with one exception: a caller that moves on
-//! only after [`PATIENCE_MS`] cannot have sent a newer order yet, so in the first part of that time
+//! only after a second cannot have sent a newer order yet, so in the first part of that time
 //! every committed order is an older one.
 
 /// Shortest time for which a caller waits for the answer to an order before it sends the order
--- a/crates/hemlockcrank_host/src/contact.rs
+++ b/crates/hemlockcrank_host/src/contact.rs
@@ -1,7 +1,7 @@
 //! Connections of callers whose orders have no number of their own, with what is known of when such
 //! an order can have been sent at the earliest; see [`hemlockcrank_core::arrival`].
 //!
-//! A [`Listener`] asks the system for the next connection at least every [`LOOK_INTERVAL`]. A
+//! A [`Listener`] asks the system for the next connection at least every 200 ms. A
 //! connection that it accepts was opened after the last time at which none was waiting, however long
 //! this process stood still meanwhile.
 
