--- a/crates/hemlockcrank_core/tests/succession/calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/calls.rs
@@ -48,6 +48,7 @@
     site.platform = Some(Platform {
         effect_ms: 600,
         answer_ms: Some(600),
+        ..Platform::default()
     });
     begin_planned_change(&mut site);
 
@@ -69,6 +70,7 @@
     site.platform = Some(Platform {
         effect_ms: 2_000,
         answer_ms: None,
+        ..Platform::default()
     });
     begin_planned_change(&mut site);
     let mut asked = None;
@@ -100,6 +102,7 @@
     site.platform = Some(Platform {
         effect_ms: 300,
         answer_ms: Some(100),
+        ..Platform::default()
     });
     begin_planned_change(&mut site);
     let mut asked = false;
@@ -126,6 +129,7 @@
     site.platform = Some(Platform {
         effect_ms: 4_000,
         answer_ms: None,
+        ..Platform::default()
     });
     begin_planned_change(&mut site);
     let mut asked = None;
@@ -197,6 +201,7 @@
     site.platform = Some(Platform {
         effect_ms: 600,
         answer_ms: Some(25),
+        ..Platform::default()
     });
     begin_planned_change(&mut site);
     site.member("c").answer_ms = 200;
@@ -251,6 +256,7 @@
     site.platform = Some(Platform {
         effect_ms: 300,
         answer_ms: Some(1_200),
+        ..Platform::default()
     });
     begin_planned_change(&mut site);
     while site.change().is_some() {
--- /dev/null
+++ b/crates/hemlockcrank_core/tests/succession/late_calls.rs
@@ -0,0 +1,105 @@
+//! Promotion calls that reach the platform after their sender has lost its leadership: it is cut off,
+//! and the link holds its bytes until the cut ends.
+
+use hemlockcrank_core::{group::Edit, succession::Order};
+
+use crate::model::{Platform, Site, TICK_MS};
+
+/// Time for which the leader is cut off, in milliseconds.
+const CUT_MS: u64 = 10_000;
+/// The same for a long cut, in milliseconds.
+const LONG_CUT_MS: u64 = 14_000;
+
+/// Begins a planned change of the primary `a`, and returns the member that the leader calls for.
+fn begin_change_until_the_call(site: &mut Site) -> String {
+    site.write("a", &["b", "c"]);
+    site.commit(Edit::Zone {
+        zone: "zone-a".into(),
+        in_service: false,
+    });
+    while site.change().is_none() {
+        site.ticks(1);
+    }
+    site.release(true);
+    let mut asked = None;
+    while asked.is_none() {
+        site.tick(|order| {
+            if let Order::Promote(member, _) = order {
+                asked.get_or_insert(member.to_string());
+            }
+            false
+        });
+    }
+    asked.expect("a call")
+}
+
+fn held_platform(held_ms: u64) -> Platform {
+    Platform {
+        held_ms,
+        effect_ms: 600,
+        answer_ms: None,
+    }
+}
+
+/// Runs for `duration_ms`, with a save at each tick if there is a primary.
+fn run_saving(site: &mut Site, duration_ms: u64) {
+    for _ in 0..duration_ms / TICK_MS {
+        site.tick(|_| false);
+        if site.change().is_some() && !site.fencing.complete {
+            site.release(true);
+        }
+        if site.change().is_none() {
+            let primary = site.lead().member.clone();
+            let others: Vec<&str> = ["a", "b", "c"]
+                .into_iter()
+                .filter(|name| **name != *primary)
+                .collect();
+            site.write(&primary, &others);
+        }
+        if site.change().is_some() {
+            site.release(true);
+        }
+    }
+}
+
+/// Guards against a lower fencing token after a higher one: the call of a leader that was cut off
+/// reached the platform after that of its successor.
+#[test]
+fn a_call_that_a_cut_link_holds_does_not_reach_the_platform_after_the_successors() {
+    let mut site = Site::new();
+    site.platform = Some(held_platform(CUT_MS));
+    begin_change_until_the_call(&mut site);
+
+    site.platform = Some(held_platform(0));
+    site.cut_leader_off(CUT_MS);
+    run_saving(&mut site, 3 * CUT_MS);
+
+    assert_eq!(site.late_tokens, []);
+    assert_eq!(site.change(), None);
+}
+
+/// Guards against lost commits: the call of a leader that was cut off for longer than a call was
+/// waited for promoted a member that had been replaced meanwhile.
+#[test]
+fn a_call_that_a_cut_link_holds_promotes_no_member_that_lacks_a_commit() {
+    let mut site = Site::new();
+    site.platform = Some(held_platform(LONG_CUT_MS));
+    let first = begin_change_until_the_call(&mut site);
+
+    site.platform = None;
+    site.cut_leader_off(LONG_CUT_MS);
+    run_saving(&mut site, 1_000);
+    site.commit(Edit::Zone {
+        zone: "zone-a".into(),
+        in_service: true,
+    });
+    site.commit(Edit::Zone {
+        zone: format!("zone-{first}").into(),
+        in_service: false,
+    });
+    run_saving(&mut site, LONG_CUT_MS - 2_000);
+    site.member(&first).cut_from_members = true;
+    run_saving(&mut site, LONG_CUT_MS);
+
+    assert_eq!(site.change(), None);
+}
--- a/crates/hemlockcrank_core/tests/succession/late_orders.rs
+++ b/crates/hemlockcrank_core/tests/succession/late_orders.rs
@@ -23,6 +23,7 @@
     site.platform = Some(Platform {
         effect_ms: 600,
         answer_ms: Some(600),
+        ..Platform::default()
     });
     site.late_order_ms = Some(late_ms);
     let mut resumes = 0;
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -15,6 +15,9 @@
 /// Time that one tick takes, in milliseconds.
 pub(crate) const TICK_MS: u64 = 25;
 
+/// Time after which a sender gives up a call without an answer, in milliseconds.
+const GIVEN_UP_MS: u64 = 10_000;
+
 /// A commit: the term that it was written in, and a unique number.
 pub(crate) type Commit = (u64, u64);
 
@@ -60,10 +63,14 @@
     number: u64,
     /// Leadership that made the call; its answer means nothing to a later one.
     leadership: u64,
+    /// When it reaches the platform; `None` once it has.
+    arrives_at: Option<u64>,
     /// When it takes effect; `None` once it has.
     effect_at: Option<u64>,
-    /// When it is answered; `None` if it was or never is.
+    /// When it is answered, or given up; `None` if it was.
     answer_at: Option<u64>,
+    /// Whether the platform answers it.
+    is_answered: bool,
 }
 
 /// How the platform treats promotion calls.
@@ -71,8 +78,11 @@
 pub(crate) struct Platform {
     /// Time from a call to the promotion, in milliseconds.
     pub(crate) effect_ms: u64,
-    /// Time from a call to its answer, in milliseconds; `None`: it is never answered.
+    /// Time from a call to its answer, in milliseconds; `None`: it is never answered, and its sender
+    /// gives it up after [`GIVEN_UP_MS`].
     pub(crate) answer_ms: Option<u64>,
+    /// Time until a call reaches the platform, in milliseconds.
+    pub(crate) held_ms: u64,
 }
 
 /// The group, its single host, and the control leader's state machine.
@@ -101,6 +111,10 @@
     /// Time until a member carries out an order whose answer is lost, in milliseconds; `None`: never.
     pub(crate) late_order_ms: Option<u64>,
     leadership: u64,
+    /// Highest leadership of a call that has reached the platform: its fencing token.
+    newest_token: u64,
+    /// Tokens that reached the platform after a higher one, and that one.
+    pub(crate) late_tokens: Vec<(u64, u64)>,
     /// Newest acknowledged commit, reported to the leader by [`Site::release`].
     newest_acknowledged: Position,
     next_commit: u64,
@@ -126,6 +140,8 @@
             late_orders: Vec::new(),
             late_order_ms: None,
             leadership: 0,
+            newest_token: 0,
+            late_tokens: Vec::new(),
             newest_acknowledged: Position::default(),
             next_commit: 0,
         };
@@ -271,6 +287,11 @@
         self.answers.clear();
     }
 
+    /// The leader is cut off for this time, and another host leads.
+    pub(crate) fn cut_leader_off(&mut self, _duration_ms: u64) {
+        self.change_leader();
+    }
+
     /// One tick of the leader. Every order is executed and answered at once, unless `is_lost`
     /// returns true for it.
     pub(crate) fn tick<F>(&mut self, mut is_lost: F)
@@ -409,20 +430,35 @@
                 member: member.clone(),
                 number,
                 leadership: self.leadership,
-                effect_at: Some(now + platform.effect_ms),
-                answer_at: platform.answer_ms.map(|after| now + after),
+                arrives_at: Some(now + platform.held_ms),
+                effect_at: Some(now + platform.held_ms + platform.effect_ms),
+                answer_at: Some(now + platform.answer_ms.unwrap_or(GIVEN_UP_MS)),
+                is_answered: platform.answer_ms.is_some(),
             });
         } else {
+            self.receive_call(self.leadership);
             let reply = self.promote(member);
             self.succession.record_promotion(now, number, reply);
         }
     }
 
+    /// The platform receives a call with this fencing token.
+    fn receive_call(&mut self, token: u64) {
+        if token < self.newest_token {
+            self.late_tokens.push((token, self.newest_token));
+        }
+        self.newest_token = token.max(self.newest_token);
+    }
+
     /// Carries out and answers the promotion calls that are due.
     fn run_platform(&mut self) {
         let now = self.now;
         let is_due = |at: Option<u64>| at.is_some_and(|at| at <= now);
         for mut call in std::mem::take(&mut self.calls) {
+            if is_due(call.arrives_at) {
+                call.arrives_at = None;
+                self.receive_call(call.leadership);
+            }
             if is_due(call.effect_at) {
                 call.effect_at = None;
                 self.promote(&call.member);
@@ -430,6 +466,7 @@
             if is_due(call.answer_at) {
                 call.answer_at = None;
                 let reply = match self.members[&call.member].down {
+                    _ if !call.is_answered => PromotionReply::Unknown,
                     true => PromotionReply::NotRunning,
                     false => PromotionReply::Accepted,
                 };
--- a/crates/hemlockcrank_core/tests/succession/random.rs
+++ b/crates/hemlockcrank_core/tests/succession/random.rs
@@ -114,6 +114,7 @@
     Platform {
         effect_ms: u64::from(random.next_u32() % LONGEST_CALL_MS),
         answer_ms: (!one_in(random, 4)).then_some(answer_ms),
+        ..Platform::default()
     }
 }
 
@@ -172,6 +173,7 @@
             site.platform = Some(Platform {
                 effect_ms: 600,
                 answer_ms: Some(600),
+                ..Platform::default()
             });
             run_host(&mut site, &mut random);
             run_cut_off_host(&mut site);
