--- a/crates/hemlockcrank_core/src/consensus/node.rs
+++ b/crates/hemlockcrank_core/src/consensus/node.rs
@@ -9,6 +9,8 @@
 use strum::{Display, IntoStaticStr};
 use thiserror::Error;
 
+use crate::Name;
+
 use super::{
     Config, Entry, Envelope, Id, Log, Message, Payload, SharedBytes, Snapshot, Timing,
     progress::Progress,
@@ -258,6 +260,15 @@
         self.role == Role::Leader && self.log.term_at(self.commit) == Some(self.term)
     }
 
+    /// Hosts that have answered this node in its term as the leader.
+    pub fn participants(&self) -> BTreeSet<Name> {
+        let answered = self
+            .progress
+            .iter()
+            .filter(|(_, progress)| progress.acked_at.is_some());
+        answered.map(|(id, _)| id.host.clone()).collect()
+    }
+
     /// Local time until which no other leader can be elected. `None` if this node does not lead or
     /// has not committed an entry of its term.
     pub fn lease_until(&self) -> Option<u64> {
--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -6,6 +6,7 @@
 //! ([`Age`]), so a delayed announcement never overwrites a newer one. An operator's order on a zone
 //! has no such counter; it names the log entries that preceded it instead (module `zone`).
 
+mod intent;
 mod zone;
 
 use std::{
@@ -18,6 +19,7 @@
 
 use crate::Name;
 
+pub use intent::Intent;
 pub use zone::ZoneOrder;
 
 /// Number of departed members that are remembered, so that a delayed announcement does not add them
@@ -184,6 +186,8 @@
     },
     /// An operator's order on an availability zone; changes nothing if a newer one is committed.
     Order(ZoneOrder),
+    /// A control leader is about to ask the platform to promote the nominated member.
+    Intent(Intent),
 }
 
 /// A member that the platform may have been asked to promote, and may still promote.
@@ -206,9 +210,11 @@
     /// Latest nominated member by service, until its promotion is settled. A snapshot of version 3
     /// ends before it.
     nominees: BTreeMap<Name, Nominee>,
-    /// Log index of the newest order by zone. The last field of the state: a snapshot of version 4
-    /// ends before it.
+    /// Log index of the newest order by zone. A snapshot of version 4 ends before it.
     zone_orders: BTreeMap<Name, u64>,
+    /// Intents by service, until their calls are settled. The last field of the state: a snapshot of
+    /// version 5 ends before it.
+    intents: BTreeMap<Name, Vec<Intent>>,
 }
 
 impl Groups {
@@ -240,9 +246,9 @@
         self.nominees.get(service)
     }
 
-    /// Whether the same members are nominated in `other`.
+    /// Whether the same members are nominated in `other`, with the same intents to promote them.
     pub fn has_nominees_of(&self, other: &Self) -> bool {
-        self.nominees == other.nominees
+        self.nominees == other.nominees && self.intents == other.intents
     }
 
     /// Service and data of the member with that name.
@@ -324,6 +330,7 @@
                 self.nominate(service, nominee, previous.as_ref())
             }
             Edit::Settle { service, change } => self.settle(service, *change),
+            Edit::Intent(intent) => self.intend(intent),
         }
     }
 
@@ -423,6 +430,7 @@
         if is_stale || self.nominee(service).is_some() {
             return false;
         }
+        self.intents.remove(service);
         self.nominees.remove(service).is_some()
     }
 
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -108,6 +108,13 @@
     /// How long operations at the primary have failed with none succeeding, in milliseconds; `None`
     /// unless they fail.
     pub failing_ms: Option<u64>,
+    /// Name of this control host.
+    pub host: &'a Name,
+    /// Its term as the leader of the control group.
+    pub leadership: u64,
+    /// Control hosts that take part in this leadership, this one included. Their calls under earlier
+    /// ones have ended.
+    pub participants: &'a BTreeSet<Name>,
 }
 
 impl<'a> Inputs<'a> {
@@ -231,11 +238,17 @@
         Self {
             resumes: OpenOrders::new(now, &members),
             to_resume: members,
-            calls: Calls::new(now, unsettled),
+            calls: Calls::new(now, unsettled, groups.intents(service)),
             ..Self::default()
         }
     }
 
+    /// Control hosts whose calls under earlier leaderships may still reach the platform. Until they
+    /// have landed, no call is made.
+    pub fn awaited_hosts(&self, now: u64) -> BTreeSet<Name> {
+        self.calls.awaited_hosts(now)
+    }
+
     /// Returns the orders to carry out at `now`.
     pub fn tick(&mut self, now: u64, inputs: &Inputs<'_>) -> Vec<Order> {
         let group = inputs.group;
@@ -246,6 +259,7 @@
         self.to_resume
             .retain(|member| group.members.contains_key(member));
         self.forget_restarted(group);
+        self.calls.note_participants(now, inputs.participants);
         if group.change.map(|change| change.index) != self.change {
             self.reset(now, inputs);
         }
@@ -324,7 +338,7 @@
 
     /// Records the answer to the promotion call with this number.
     pub fn record_promotion(&mut self, now: u64, call: u64, reply: PromotionReply) {
-        let Some(call) = self.calls.record(call, self.change, reply) else {
+        let Some(call) = self.calls.record(now, call, self.change, reply) else {
             return;
         };
         if call.change != self.change {
@@ -412,7 +426,7 @@
         let has_successor = others
             .clone()
             .any(|(_, member)| inputs.groups.accepts_work(member));
-        let may_begin_planned = now >= self.next_planned_at && self.calls.all_settled(now);
+        let may_begin_planned = now >= self.next_planned_at && self.calls.allow_change(now);
         if !inputs.groups.accepts_work(primary) && has_successor && may_begin_planned {
             return self.begin(now, inputs, lead.term, true);
         }
--- a/crates/hemlockcrank_core/src/succession/calls.rs
+++ b/crates/hemlockcrank_core/src/succession/calls.rs
@@ -2,15 +2,36 @@
 //!
 //! A call without a clear answer may take effect at any later time. Until it is settled, a member
 //! other than the one that it names must not be promoted: the platform would then promote both, and
-//! the later one lacks what the earlier one has acknowledged.
+//! the later one lacks what the earlier one has acknowledged. While a call of an earlier control
+//! leader may still reach the platform, this one makes none: the platform would see the older
+//! fencing token after the newer one.
+//!
+//! The sender resets the connection of a call when its lease ends, so what has not reached the
+//! platform by then never will. The evidence that it has done so is that its host takes part in the
+//! present leadership, which a process does only after it has ended its own. A sender that stays
+//! silent is waited for as long as [`ABSENT_MS`]; after that another member may be promoted, but the
+//! member that the call names becomes a witness ([`Groups::witnesses`](crate::group::Groups::witnesses)),
+//! without which nothing is acknowledged, until the sender returns or [`GIVE_UP_MS`] has passed.
+
+use std::collections::BTreeSet;
 
 use super::PromotionReply;
-use crate::{Name, group::Nominee};
+use crate::{
+    Name,
+    group::{Group, Intent, Nominee},
+};
 
-/// Time after which a call without a clear answer counts as settled, in milliseconds. A platform
-/// that carries out a call even later is not guarded against: a service must not stay without a
-/// primary for good.
+/// Time that the platform takes at most to carry out a call that has reached it, in milliseconds.
 const SETTLE_MS: u64 = 10_000;
+/// Time in which a call that was on its way when its sender returned reaches the platform, in
+/// milliseconds.
+const LANDING_MS: u64 = 1_000;
+/// Longest wait for the sender of an earlier leader's call, in milliseconds. It is longer than the
+/// 11 s that a change of primary may take, so that a partition of that length ends in evidence.
+const ABSENT_MS: u64 = 15_000;
+/// Time after which a sender that never returned counts as gone for good, with its call, in
+/// milliseconds.
+const GIVE_UP_MS: u64 = 60_000;
 /// Pause before a call is repeated after an answer that is not clear, in milliseconds.
 const RETRY_MS: u64 = 500;
 /// Longest wait for an answer, or for an accepted member to be primary, before the call is
@@ -24,19 +45,58 @@
     pub(super) member: Name,
     /// Change that it belongs to.
     pub(super) change: Option<u64>,
+    /// When it was sent; for a call of an earlier leader, when the present leadership began.
     sent_at: u64,
     state: CallState,
 }
 
+impl Call {
+    /// Whether the platform certainly does not carry it out any more.
+    fn is_settled(&self, now: u64) -> bool {
+        match &self.state {
+            CallState::Awaited => now >= self.sent_at + GIVE_UP_MS,
+            CallState::Accepted { at } | CallState::Unclear { ended_at: at } => {
+                now >= at + SETTLE_MS
+            }
+            CallState::Earlier { returned_at, .. } => returned_at
+                .is_some_and(|at| now >= at + LANDING_MS && now >= self.sent_at + SETTLE_MS),
+        }
+    }
+
+    /// Whether it was made by an earlier leader, and may still reach the platform.
+    fn may_arrive(&self, now: u64) -> bool {
+        match &self.state {
+            CallState::Earlier { returned_at, .. } => {
+                let landed = returned_at.is_some_and(|at| now >= at + LANDING_MS);
+                !landed && now < self.sent_at + ABSENT_MS
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether it is not waited for any more: it is settled, or its sender has been silent for `limit_ms`.
+    fn is_waited_out(&self, now: u64, limit_ms: u64) -> bool {
+        let is_earlier = matches!(self.state, CallState::Earlier { .. });
+        self.is_settled(now) || (is_earlier && now >= self.sent_at + limit_ms)
+    }
+}
+
 /// What is known of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum CallState {
     /// Its answer is awaited.
     Awaited,
     /// The platform makes the member the primary.
-    Accepted,
-    /// It was made without a clear answer, or may have been made by an earlier control leader.
-    Unclear,
+    Accepted { at: u64 },
+    /// Its connection was ended without a clear answer.
+    Unclear { ended_at: u64 },
+    /// An earlier control leader may have made it.
+    Earlier {
+        /// Control host that made it; `None` if the log does not name it.
+        host: Option<Name>,
+        /// When that host first took part in the present leadership.
+        returned_at: Option<u64>,
+    },
 }
 
 /// The calls of one leadership that are not settled.
@@ -54,27 +114,50 @@
 
 impl Calls {
     /// The calls that earlier leaders may have made.
-    pub(super) fn new(now: u64, unsettled: Option<&Nominee>) -> Self {
+    pub(super) fn new(now: u64, unsettled: Option<&Nominee>, intents: &[Intent]) -> Self {
         let mut calls = Self::default();
-        if let Some(nominee) = unsettled {
-            calls.add(
-                now,
-                &nominee.member,
-                Some(nominee.change),
-                CallState::Unclear,
-            );
+        for intent in intents {
+            let host = Some(intent.host.clone());
+            calls.add_earlier(now, &intent.member, intent.change, host);
+        }
+        if let Some(nominee) = unsettled.filter(|_| intents.is_empty()) {
+            calls.add_earlier(now, &nominee.member, nominee.change, None);
         }
         calls
     }
 
+    fn add_earlier(&mut self, now: u64, member: &Name, change: u64, host: Option<Name>) {
+        let state = CallState::Earlier {
+            host,
+            returned_at: None,
+        };
+        self.add(now, member, Some(change), state);
+    }
+
+    /// Notes the control hosts that take part in the present leadership.
+    pub(super) fn note_participants(&mut self, now: u64, participants: &BTreeSet<Name>) {
+        for call in &mut self.open {
+            if let CallState::Earlier {
+                host: Some(host),
+                returned_at,
+            } = &mut call.state
+                && participants.contains(host)
+            {
+                returned_at.get_or_insert(now);
+            }
+        }
+    }
+
     /// A change begins or ends. A call that the platform has accepted is settled once its member is
     /// the primary.
     pub(super) fn begin(&mut self, primary: Option<&Name>) {
         self.sent_at = None;
         self.not_running = None;
         self.primary = primary.cloned();
-        self.open
-            .retain(|call| call.state != CallState::Accepted || primary != Some(&call.member));
+        self.open.retain(|call| {
+            let accepted = matches!(call.state, CallState::Accepted { .. });
+            !accepted || primary != Some(&call.member)
+        });
     }
 
     /// Adds a call and returns its number, if the pause before the next one has passed.
@@ -93,7 +176,8 @@
     fn add(&mut self, now: u64, member: &Name, change: Option<u64>, state: CallState) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
-        self.open.retain(|call| now < call.sent_at + SETTLE_MS);
+        self.open
+            .retain(|call| !call.is_waited_out(now, GIVE_UP_MS));
         self.open.push(Call {
             number,
             member: member.clone(),
@@ -108,6 +192,7 @@
     /// already.
     pub(super) fn record(
         &mut self,
+        now: u64,
         number: u64,
         change: Option<u64>,
         reply: PromotionReply,
@@ -119,8 +204,12 @@
             PromotionReply::Accepted if is_carried_out => {
                 self.open.swap_remove(index);
             }
-            PromotionReply::Accepted => self.open[index].state = CallState::Accepted,
-            PromotionReply::Unknown => self.open[index].state = CallState::Unclear,
+            PromotionReply::Accepted => {
+                self.open[index].state = CallState::Accepted { at: now };
+            }
+            PromotionReply::Unknown => {
+                self.open[index].state = CallState::Unclear { ended_at: now };
+            }
             PromotionReply::NotRunning | PromotionReply::NotSent => {
                 self.open.swap_remove(index);
             }
@@ -144,13 +233,47 @@
     /// Whether no call can be carried out any more.
     pub(super) fn all_settled(&self, now: u64) -> bool {
         let mut open = self.open.iter();
-        open.all(|call| now >= call.sent_at + SETTLE_MS)
+        open.all(|call| call.is_waited_out(now, GIVE_UP_MS))
+    }
+
+    /// Whether another change may begin: no call can be carried out any more, or its sender has been
+    /// silent for too long.
+    pub(super) fn allow_change(&self, now: u64) -> bool {
+        let mut open = self.open.iter();
+        open.all(|call| call.is_waited_out(now, ABSENT_MS))
     }
 
-    /// Whether no call that names another member can be carried out any more.
-    pub(super) fn allow(&self, now: u64, member: &Name) -> bool {
+    /// Whether this member may be promoted: no call that names another member can be carried out any
+    /// more, that member has left the group, or the sender has been silent for too long.
+    pub(super) fn allow(&self, now: u64, group: &Group, member: &Name) -> bool {
         let mut others = self.open.iter().filter(|call| call.member != *member);
-        others.all(|call| now >= call.sent_at + SETTLE_MS)
+        others.all(|call| {
+            call.is_waited_out(now, ABSENT_MS) || !group.members.contains_key(&call.member)
+        })
+    }
+
+    /// Members of calls that may still be carried out although their senders are not waited for any
+    /// more, other than `member`.
+    pub(super) fn doubtful(&self, now: u64, member: &Name) -> Vec<Name> {
+        let others = self.open.iter().filter(|call| call.member != *member);
+        let open = others.filter(|call| !call.is_settled(now));
+        let names: BTreeSet<&Name> = open.map(|call| &call.member).collect();
+        names.into_iter().cloned().collect()
+    }
+
+    /// Whether a call of an earlier leader may still reach the platform.
+    pub(super) fn await_earlier(&self, now: u64) -> bool {
+        self.open.iter().any(|call| call.may_arrive(now))
+    }
+
+    /// Hosts whose calls under an earlier leadership may still reach the platform.
+    pub(super) fn awaited_hosts(&self, now: u64) -> BTreeSet<Name> {
+        let open = self.open.iter().filter(|call| call.may_arrive(now));
+        open.filter_map(|call| match &call.state {
+            CallState::Earlier { host, .. } => host.clone(),
+            _ => None,
+        })
+        .collect()
     }
 
     /// Whether the platform answered last that this member is not running.
--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -5,7 +5,7 @@
 use crate::{
     Name,
     floor::Sample,
-    group::{Change, Edit, Group, Lead},
+    group::{Change, Edit, Group, Intent, Lead, Nominee},
 };
 
 /// Longest wait for a member to reach the position of an old primary that has stepped down, in
@@ -115,6 +115,12 @@
                 orders.extend(self.send(now, inputs.fencing.complete, order));
             }
         }
+        if self.calls.await_earlier(now)
+            && let Some(nominee) = inputs.nominee()
+        {
+            let order = Order::Look(nominee.member.clone());
+            orders.extend(self.send(now, inputs.fencing.complete, order));
+        }
         orders.extend(self.promote(now, inputs, change, term));
         orders
     }
@@ -134,16 +140,18 @@
                 || self.calls.is_not_running(&nominee.member)
         });
         if let Some(nominee) = nominee.filter(|_| !is_gone) {
-            return self.call(now, inputs, term, &nominee.member);
+            return self.call(now, inputs, term, nominee);
         }
         let candidate = self.candidate(now, inputs, term)?;
         let born = inputs.group.born(&candidate)?;
         let previous = nominee.map(|nominee| &nominee.member);
-        if nominee.is_some_and(|nominee| nominee.member == candidate && nominee.born == born) {
+        if let Some(nominee) =
+            nominee.filter(|nominee| nominee.member == candidate && nominee.born == born)
+        {
             self.calls.forget_not_running();
-            return self.call(now, inputs, term, &candidate);
+            return self.call(now, inputs, term, nominee);
         }
-        if !self.calls.allow(now, &candidate) {
+        if !self.calls.allow(now, inputs.group, &candidate) {
             return None;
         }
         let edit = Edit::Nominate {
@@ -157,15 +165,45 @@
     }
 
     /// Asks for the promotion of the nominated member. What proved that it holds every acknowledged
-    /// commit must still hold, or no host can acknowledge anything more.
-    fn call(&mut self, now: u64, inputs: &Inputs<'_>, term: u64, nominee: &Name) -> Option<Order> {
+    /// commit must still hold, or no host can acknowledge anything more. The intent is committed
+    /// first, and no call of an earlier leader may still be on its way.
+    fn call(
+        &mut self,
+        now: u64,
+        inputs: &Inputs<'_>,
+        term: u64,
+        nominee: &Nominee,
+    ) -> Option<Order> {
         let mut eligible = self.eligible(now, inputs, term).into_iter();
-        let holds = inputs.fencing.complete || eligible.any(|(name, _)| name == nominee);
-        let number = match holds {
-            true => self.calls.send(now, nominee, self.change)?,
-            false => return None,
-        };
-        Some(Order::Promote(nominee.clone(), number))
+        let holds = inputs.fencing.complete || eligible.any(|(name, _)| *name == nominee.member);
+        if !holds || self.calls.await_earlier(now) {
+            return None;
+        }
+        let mut intents = inputs.groups.intents(inputs.service).iter();
+        let is_known = intents.any(|intent| {
+            intent.change == nominee.change
+                && intent.member == nominee.member
+                && intent.born == nominee.born
+                && intent.leadership == inputs.leadership
+        });
+        if !is_known {
+            let intent = self.intent(now, inputs, nominee);
+            return self.propose(now, Edit::Intent(intent)).pop();
+        }
+        let number = self.calls.send(now, &nominee.member, self.change)?;
+        Some(Order::Promote(nominee.member.clone(), number))
+    }
+
+    fn intent(&self, now: u64, inputs: &Inputs<'_>, nominee: &Nominee) -> Intent {
+        Intent {
+            service: inputs.service.clone(),
+            change: nominee.change,
+            member: nominee.member.clone(),
+            born: nominee.born,
+            host: inputs.host.clone(),
+            leadership: inputs.leadership,
+            witnesses: self.calls.doubtful(now, &nominee.member),
+        }
     }
 
     /// The primary of the old term, also after a restart under another name.
--- a/crates/hemlockcrank_core/tests/succession/late_calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/late_calls.rs
@@ -9,6 +9,8 @@
 const CUT_MS: u64 = 10_000;
 /// The same for a long cut, in milliseconds.
 const LONG_CUT_MS: u64 = 14_000;
+/// Time before the call arrives from which its member receives nothing, in milliseconds.
+const CUT_FROM_MEMBERS_MS: u64 = 2_000;
 
 /// Begins a planned change of the primary `a`, and returns the member that the leader calls for.
 fn begin_change_until_the_call(site: &mut Site) -> String {
@@ -97,9 +99,53 @@
         zone: format!("zone-{first}").into(),
         in_service: false,
     });
-    run_saving(&mut site, LONG_CUT_MS - 2_000);
+    run_saving(&mut site, LONG_CUT_MS - CUT_FROM_MEMBERS_MS);
     site.member(&first).cut_from_members = true;
+    run_saving(&mut site, 2 * CUT_FROM_MEMBERS_MS);
+    site.member(&first).cut_from_members = false;
     run_saving(&mut site, LONG_CUT_MS);
 
     assert_eq!(site.change(), None);
 }
+
+/// Guards against a service that waits for good for the call of a leader that never comes back.
+#[test]
+fn a_leader_that_is_gone_for_good_is_not_waited_for() {
+    let mut site = Site::new();
+    site.platform = Some(held_platform(u64::from(u32::MAX)));
+    begin_change_until_the_call(&mut site);
+
+    site.platform = None;
+    site.cut_leader_off(u64::from(u32::MAX));
+    run_saving(&mut site, 2 * CUT_MS);
+
+    assert_eq!(site.change(), None);
+    assert_eq!(site.late_tokens, []);
+}
+
+/// Guards against lost commits when the sender stays silent for longer than it is waited for, and
+/// another member than the one that it called for is promoted: the latter may still be promoted, so
+/// nothing is acknowledged that it has not received.
+#[test]
+fn a_call_of_a_leader_that_was_given_up_promotes_no_member_that_lacks_a_commit() {
+    let mut site = Site::new();
+    site.platform = Some(held_platform(2 * LONG_CUT_MS));
+    let first = begin_change_until_the_call(&mut site);
+
+    site.platform = None;
+    site.cut_leader_off(2 * LONG_CUT_MS);
+    site.member(&first).down = true;
+    run_saving(&mut site, 2 * CUT_MS);
+    let replaced = site.lead().member.to_string();
+    site.member(&first).down = false;
+    run_saving(&mut site, LONG_CUT_MS / 2 - CUT_FROM_MEMBERS_MS);
+    let saved = site.acknowledged.len();
+    site.member(&first).cut_from_members = true;
+    run_saving(&mut site, 2 * CUT_FROM_MEMBERS_MS);
+    site.member(&first).cut_from_members = false;
+    run_saving(&mut site, 2 * CUT_MS);
+
+    assert_ne!(replaced, first);
+    assert!(site.acknowledged.len() > saved);
+    assert_eq!(site.change(), None);
+}
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -1,6 +1,6 @@
 //! Model of a small group and its hosts, driven by the production [`Succession`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hemlockcrank_core::{
     Name,
@@ -111,6 +111,8 @@
     /// Time until a member carries out an order whose answer is lost, in milliseconds; `None`: never.
     pub(crate) late_order_ms: Option<u64>,
     leadership: u64,
+    /// Control hosts that are cut off, and until when.
+    silent_until: BTreeMap<Name, u64>,
     /// Highest leadership of a call that has reached the platform: its fencing token.
     newest_token: u64,
     /// Tokens that reached the platform after a higher one, and that one.
@@ -140,6 +142,7 @@
             late_orders: Vec::new(),
             late_order_ms: None,
             leadership: 0,
+            silent_until: BTreeMap::new(),
             newest_token: 0,
             late_tokens: Vec::new(),
             newest_acknowledged: Position::default(),
@@ -240,7 +243,7 @@
 
     /// Writes a commit at `name` if it is primary, and replicates it to those of `receivers` that
     /// can receive it. The commit is acknowledged to the caller if a replica has received it and
-    /// the host still uses this primary.
+    /// the host still uses this primary, and if all witnesses have received it.
     pub(crate) fn write(&mut self, name: &str, receivers: &[&str]) {
         let primary = self.members[name].clone();
         if !primary.primary || primary.down {
@@ -263,7 +266,11 @@
             copies += 1;
         }
         let in_use = self.lead().term == primary.term && !self.fencing.complete;
-        if copies > 0 && in_use {
+        let is_witnessed = self
+            .groups()
+            .witnesses(SERVICE)
+            .all(|witness| self.members[witness].log.contains(&commit));
+        if copies > 0 && in_use && is_witnessed {
             self.acknowledged.push(commit);
             let position = self.members[name].position();
             self.newest_acknowledged = self.newest_acknowledged.max(position);
@@ -287,11 +294,37 @@
         self.answers.clear();
     }
 
-    /// The leader is cut off for this time, and another host leads.
-    pub(crate) fn cut_leader_off(&mut self, _duration_ms: u64) {
+    /// The leader is cut off for this time, and another host leads. The link holds the calls that have
+    /// not reached the platform, and passes them on when the cut ends.
+    pub(crate) fn cut_leader_off(&mut self, duration_ms: u64) {
+        let until = self.now + duration_ms;
+        let (now, leadership) = (self.now, self.leadership);
+        for call in &mut self.calls {
+            if call.leadership == leadership
+                && let (Some(arrives_at), Some(effect_at)) = (call.arrives_at, call.effect_at)
+                && arrives_at > now
+            {
+                call.effect_at = Some(until + effect_at - arrives_at);
+                call.arrives_at = Some(until);
+            }
+        }
+        self.silent_until.insert(self.leader(), until);
         self.change_leader();
     }
 
+    /// Name of the control host that leads: each leadership has its own.
+    fn leader(&self) -> Name {
+        format!("host-{}", self.leadership).into()
+    }
+
+    /// Control hosts that take part in the present leadership.
+    fn participants(&self) -> BTreeSet<Name> {
+        let hosts =
+            (0..=self.leadership).map(|leadership| Name::from(format!("host-{leadership}")));
+        let is_silent = |host: &Name| self.silent_until.get(host).is_some_and(|at| self.now < *at);
+        hosts.filter(|host| !is_silent(host)).collect()
+    }
+
     /// One tick of the leader. Every order is executed and answered at once, unless `is_lost`
     /// returns true for it.
     pub(crate) fn tick<F>(&mut self, mut is_lost: F)
@@ -304,6 +337,7 @@
         self.deliver_answers();
         let groups: Groups = Groups::clone(&self.state.groups);
         let service = Name::from(SERVICE);
+        let (host, participants) = (self.leader(), self.participants());
         let inputs = Inputs {
             groups: &groups,
             group: groups.get(SERVICE).expect("group"),
@@ -311,6 +345,9 @@
             sync_replicas: 1,
             fencing: self.fencing,
             failing_ms: self.failing_ms,
+            host: &host,
+            leadership: self.leadership,
+            participants: &participants,
         };
         let orders = self.succession.tick(self.now, &inputs);
         for order in orders {
--- a/crates/hemlockcrank_core/tests/succession/random.rs
+++ b/crates/hemlockcrank_core/tests/succession/random.rs
@@ -145,6 +145,63 @@
     }
 }
 
+/// Time that a call is on its way to the platform at most while its sender is connected, in
+/// milliseconds.
+const LONGEST_WAY_MS: u32 = 500;
+/// Length of a cut within which the successor waits for the leader, in milliseconds.
+const SHORT_CUT_MS: u32 = 13_000;
+/// Length of a cut after which the leader is given up, in milliseconds.
+const LONG_CUT_MS: u32 = 40_000;
+
+/// Runs with leaders that are cut off in series, for up to `longest_ms`, while calls of theirs are on
+/// their way; the calls arrive when the cut ends.
+fn run_with_cuts(seed: u64, longest_ms: u32) -> Site {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut site = Site::new();
+    for _ in 0..2 * FAULTY_TICKS {
+        if one_in(&mut random, 60) {
+            inject_fault(&mut site, &mut random);
+        }
+        site.platform = Some(Platform {
+            held_ms: u64::from(random.next_u32() % LONGEST_WAY_MS),
+            ..slow_platform(&mut random)
+        });
+        if one_in(&mut random, 200) || (site.nominee().is_some() && one_in(&mut random, 15)) {
+            site.cut_leader_off(u64::from(random.next_u32() % longest_ms));
+        }
+        run_host(&mut site, &mut random);
+        site.tick(|_| one_in(&mut random, 12));
+    }
+    heal(&mut site);
+    for _ in 0..4 * FAULT_FREE_TICKS {
+        run_host(&mut site, &mut random);
+        site.tick(|_| false);
+    }
+    site
+}
+
+/// Guards against the calls of leaders that were cut off: the model asserts at each promotion that no
+/// acknowledged commit is missing.
+#[rstest]
+fn calls_of_leaders_that_were_cut_off_lose_no_commit(#[values(0, 1, 2, 3)] block: u64) {
+    for seed in block * 20..(block + 1) * 20 {
+        let site = run_with_cuts(seed, SHORT_CUT_MS);
+
+        assert_eq!(site.late_tokens, [], "seed {seed}");
+        assert_eq!(site.change(), None, "seed {seed}: {site:#?}");
+    }
+}
+
+/// Guards against the same when leaders stay silent for longer than they are waited for.
+#[rstest]
+fn calls_of_leaders_that_were_given_up_lose_no_commit(#[values(0, 1, 2, 3)] block: u64) {
+    for seed in block * 20..(block + 1) * 20 {
+        let site = run_with_cuts(seed, LONG_CUT_MS);
+
+        assert_eq!(site.change(), None, "seed {seed}: {site:#?}");
+    }
+}
+
 /// A host that has not heard of a change of primary goes on writing at the old primary.
 fn run_cut_off_host(site: &mut Site) {
     if site.change().is_some() && !site.fencing.complete {
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -35,6 +35,8 @@
             .store(lease_until, Ordering::Release);
         coordinator.note_view(now, &self.state.view);
         let groups = Arc::clone(&self.state.groups);
+        let mut participants = node.map(Node::participants).unwrap_or_default();
+        participants.insert(self.host.name.clone());
         let mut orders = Vec::new();
         let catalog = &self.state.catalog;
         let in_catalog = groups
@@ -54,6 +56,9 @@
                     None => Fencing::default(),
                 },
                 failing_ms: coordinator.observations.failing_ms(now, service, term),
+                host: &self.host.name,
+                leadership: coordinator.term,
+                participants: &participants,
             };
             let succession = coordinator.succession(service, &groups);
             let new_orders = succession.tick(now, &facts);
@@ -62,6 +67,13 @@
             for (term, sample) in frozen.into_iter().chain(arriving) {
                 coordinator.observations.add_sample(service, term, sample);
             }
+            if group.change.is_some()
+                && let Some(hosts) = coordinator.note_awaited(now, service)
+            {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("service", service), ("hosts", &format!("{hosts:?}"))];
+                self.timeline.emit(Event::PromotionWithheld, &fields);
+            }
             orders.extend(new_orders.into_iter().map(|order| (service.clone(), order)));
         }
         for (service, order) in orders {
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -4,7 +4,7 @@
 //! volatile state and the functions that send the orders.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fmt,
     net::SocketAddr,
     pin::Pin,
@@ -107,6 +107,8 @@
     view: Arc<View>,
     view_changed_at: u64,
     successions: BTreeMap<Name, Succession>,
+    /// Control hosts whose calls under earlier leaderships are waited for, by service.
+    awaited_hosts: BTreeMap<Name, BTreeSet<Name>>,
     shares: BTreeMap<Name, Shares>,
     divided_at: u64,
     /// Number of changes of the division in this leadership.
@@ -124,6 +126,7 @@
             view: Arc::default(),
             view_changed_at: 0,
             successions: BTreeMap::new(),
+            awaited_hosts: BTreeMap::new(),
             shares: BTreeMap::new(),
             divided_at: 0,
             divisions: 0,
@@ -227,6 +230,18 @@
             .or_insert_with(|| Succession::new(now_ms(), groups, service))
     }
 
+    /// Control hosts whose earlier calls a change of `service` waits for; `None` if they are the same
+    /// as before.
+    pub(crate) fn note_awaited(&mut self, now: u64, service: &Name) -> Option<&BTreeSet<Name>> {
+        let hosts = self.successions.get(service)?.awaited_hosts(now);
+        let known = self.awaited_hosts.entry(service.clone()).or_default();
+        if hosts == *known {
+            return None;
+        }
+        *known = hosts;
+        Some(known)
+    }
+
     /// The request that makes `member` the primary.
     pub(crate) fn promotion(&self, service: &Name, member: Name, holder: Name) -> Promotion {
         Promotion {
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -89,6 +89,8 @@
     PromotionAnswered = 312,
     /// This host stopped using a primary that is being replaced.
     PrimaryReleased = 313,
+    /// The leader makes no promotion call, as one of an earlier leader may still arrive.
+    PromotionWithheld = 315,
     /// A caller was refused at the start of its connection.
     CallerRefused = 400,
     /// A caller's key was withdrawn while it was connected.
--- a/crates/hemlockcrank_wire/src/codec.rs
+++ b/crates/hemlockcrank_wire/src/codec.rs
@@ -52,15 +52,16 @@
     Ok(value)
 }
 
-/// Decodes a control state, also one of an older version: that of version 4 ends before the zones'
-/// orders, that of version 3 before the nominated members, too.
+/// Decodes a control state, also one of an older version: that of version 5 ends before the intents
+/// to promote, that of version 4 before the zones' orders, too, that of version 3 before the
+/// nominated members, too.
 ///
 /// # Errors
 ///
 /// [`CodecError`] if `bytes` is no state of any of these versions.
 pub fn decode_state(bytes: &[u8]) -> Result<State, CodecError> {
     /// Encodings of the maps that older versions lack, each without entries.
-    const MISSING_MAPS: [u8; 2] = [0; 2];
+    const MISSING_MAPS: [u8; 3] = [0; 3];
     decode(bytes).or_else(|error| {
         let older = (1..=MISSING_MAPS.len()).find_map(|count| {
             let completed = [bytes, &MISSING_MAPS[..count]].concat();
--- a/crates/hemlockcrank_wire/tests/old_state.rs
+++ b/crates/hemlockcrank_wire/tests/old_state.rs
@@ -28,8 +28,9 @@
 /// Guards against a host that starts with an empty state after an update, because its snapshot ends
 /// before the maps that later versions have added.
 #[rstest]
-#[case::version_4(1)]
-#[case::version_3(2)]
+#[case::version_5(1)]
+#[case::version_4(2)]
+#[case::version_3(3)]
 fn a_state_of_an_older_version_is_read_whole(#[case] missing_maps: usize) {
     let mut bytes = encode(&state()).expect("bytes");
     let older = bytes.split_off(bytes.len() - missing_maps);
@@ -45,7 +46,7 @@
 fn a_state_that_is_cut_short_is_refused() {
     let bytes = encode(&state()).expect("bytes");
 
-    let decoded = decode_state(&bytes[..bytes.len() - 3]);
+    let decoded = decode_state(&bytes[..bytes.len() - 4]);
 
     assert!(decoded.is_err());
 }
