--- a/crates/hemlockcrank_host/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -10,15 +10,18 @@
 //! - `supervisor`: the leader's detection of dead hosts and failed primaries.
 //! - `coordinator`: the leader's part in changes of primary in databases that replicate on their
 //!   own.
+//! - `promotion`: the leader's call that changes a primary; `call_report`: how it went.
 //! - `orders`: operators' and members' orders that have no number of their own.
 //! - `poller`: polling the leader, or a relay, for updates and a lease.
 
 mod actor;
 mod bootstrap;
+mod call_report;
 mod coordinator;
 mod group;
 mod orders;
 mod poller;
+mod promotion;
 mod supervisor;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -51,8 +54,10 @@
 use actor::{Arguments, ControlActor, Message};
 use group::Group;
 
-pub use coordinator::{Callbacks, Dispatch, Promotion, RequestPromotion, SendOrder};
+pub use call_report::{CallEnd, CallReport};
+pub use coordinator::{Callbacks, Dispatch, RequestPromotion, SendOrder};
 pub use orders::OrderError;
+pub use promotion::Promotion;
 
 /// Attempts to propose a command before giving up when no leader answers.
 const PROPOSE_ATTEMPTS: u32 = 20;
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -207,8 +207,12 @@
         self.timeline.emit(Event::PromotionAsked, &fields);
         let answer = (callbacks.request_promotion)(promotion);
         let (myself, member) = (self.myself.clone(), member.clone());
+        let (timeline, asked_at) = (Arc::clone(&self.timeline), now_ms());
         tokio::spawn(async move {
-            let reply = answer.await;
+            let report = answer.await;
+            let ended_ms = now_ms().saturating_sub(asked_at);
+            report.log(&timeline, (&ticket.service, &member), number, ended_ms);
+            let reply = report.reply;
             let _ = myself.cast(Message::PromotionAnswered {
                 ticket,
                 member,
--- /dev/null
+++ b/crates/hemlockcrank_host/src/control/call_report.rs
@@ -0,0 +1,90 @@
+//! How a promotion call went.
+
+use std::fmt::Display;
+
+use hemlockcrank_core::{Name, succession::PromotionReply};
+use strum::IntoStaticStr;
+
+use crate::event::{Event, Timeline};
+
+/// How a promotion call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum CallEnd {
+    /// There was no connection in time, or the settings have no address.
+    NotConnected,
+    /// Nothing was sent, because too little of the lease was left.
+    LeaseShort,
+    /// The platform answered with a status.
+    Answered,
+    /// The answer has no status.
+    Unreadable,
+    /// No answer within the time limit.
+    TimedOut,
+    /// The platform closed or reset the connection.
+    ClosedByPeer,
+    /// The socket failed in another way.
+    Failed,
+}
+
+/// A promotion call that has ended. Times are in milliseconds since it was requested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallReport {
+    /// What the answer means for the change of primary.
+    pub reply: PromotionReply,
+    /// How it ended.
+    pub end: CallEnd,
+    /// HTTP status of the answer.
+    pub status: Option<u16>,
+    /// When the connection was open.
+    pub connected_ms: Option<u64>,
+    /// Time left of the lease when it was checked, in milliseconds.
+    pub lease_left_ms: Option<u64>,
+    /// When the socket had taken the whole request.
+    pub written_ms: Option<u64>,
+}
+
+impl CallReport {
+    /// A call of which nothing was sent.
+    pub fn not_sent(end: CallEnd) -> Self {
+        Self {
+            reply: PromotionReply::NotSent,
+            end,
+            status: None,
+            connected_ms: None,
+            lease_left_ms: None,
+            written_ms: None,
+        }
+    }
+
+    /// Logs the report of a call that ended `ended_ms` after it was requested.
+    pub(super) fn log(
+        &self,
+        timeline: &Timeline,
+        (service, member): (&Name, &Name),
+        number: u64,
+        ended_ms: u64,
+    ) {
+        let end: &str = self.end.into();
+        let fields: [(&str, &dyn Display); 9] = [
+            ("service", service),
+            ("member", member),
+            ("call", &number),
+            ("connected_ms", &shown(self.connected_ms)),
+            ("lease_left_ms", &shown(self.lease_left_ms)),
+            ("written_ms", &shown(self.written_ms)),
+            ("ended_ms", &ended_ms),
+            ("end", &end),
+            ("status", &shown(self.status)),
+        ];
+        timeline.emit(Event::PromotionCallEnded, &fields);
+    }
+}
+
+/// Text of a value, or a dash.
+fn shown<T>(value: Option<T>) -> String
+where
+    T: Display,
+{
+    value.map_or_else(|| "-".into(), |value| value.to_string())
+}
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -8,10 +8,7 @@
     fmt,
     net::SocketAddr,
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU64},
 };
 
 use hemlockcrank_core::{
@@ -22,11 +19,12 @@
     observation::Observations,
     share::Shares,
     state::State,
-    succession::{Fencing, Order, OrderReply, PromotionReply, Succession},
+    succession::{Fencing, Order, OrderReply, Succession},
 };
 
 use hemlockcrank_wire::{Division, Fetch};
 
+use super::{CallReport, Promotion};
 use crate::clock::now_ms;
 
 /// Time after a change of the view in which the hosts' reports on commits may be incomplete, in
@@ -43,8 +41,8 @@
 type AnswerFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 /// Sends an order to a member and returns its answer.
 pub type SendOrder = dyn Fn(Dispatch) -> AnswerFuture<OrderReply> + Send + Sync;
-/// Requests a change of primary from the platform.
-pub type RequestPromotion = dyn Fn(Promotion) -> AnswerFuture<PromotionReply> + Send + Sync;
+/// Requests a change of primary from the platform, and reports how the call went.
+pub type RequestPromotion = dyn Fn(Promotion) -> AnswerFuture<CallReport> + Send + Sync;
 
 /// An order and the member that it goes to.
 #[derive(Clone, Debug)]
@@ -59,28 +57,6 @@
     pub order: Order,
 }
 
-/// A request for a change of primary.
-#[derive(Clone, Debug)]
-pub struct Promotion {
-    /// Service.
-    pub service: Name,
-    /// Member that becomes the primary.
-    pub member: Name,
-    /// Name of this host, the control leader.
-    pub holder: Name,
-    /// Fencing token: the leader's term in the control group.
-    pub token: u64,
-    lease_until: Arc<AtomicU64>,
-}
-
-impl Promotion {
-    /// Whether the leader's lease is still valid, so that no other host can lead yet. Check it
-    /// right before the request is sent.
-    pub fn is_current(&self) -> bool {
-        now_ms() < self.lease_until.load(Ordering::Acquire)
-    }
-}
-
 /// Functions through which the leader sends orders to members and requests changes of primary.
 #[derive(Clone)]
 pub struct Callbacks {
--- /dev/null
+++ b/crates/hemlockcrank_host/src/control/promotion.rs
@@ -0,0 +1,35 @@
+//! The leader's request for a change of primary.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use hemlockcrank_core::Name;
+
+use crate::clock::now_ms;
+
+/// A request for a change of primary.
+#[derive(Clone, Debug)]
+pub struct Promotion {
+    /// Service.
+    pub service: Name,
+    /// Member that becomes the primary.
+    pub member: Name,
+    /// Name of this host, the control leader.
+    pub holder: Name,
+    /// Fencing token: the leader's term in the control group.
+    pub token: u64,
+    /// End of the leader's lease on this process's clock, in milliseconds. It moves while the leader
+    /// hears its quorum.
+    pub lease_until: Arc<AtomicU64>,
+}
+
+impl Promotion {
+    /// Time left of the leader's lease, in milliseconds; no other host can lead before it has ended.
+    /// Check it right before the request is sent.
+    pub fn lease_left_ms(&self) -> u64 {
+        let until = self.lease_until.load(Ordering::Acquire);
+        until.saturating_sub(now_ms())
+    }
+}
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -87,6 +87,8 @@
     PromotionAsked = 311,
     /// The request for a change of primary was answered, or failed.
     PromotionAnswered = 312,
+    /// A request for a change of primary ended: its times, and how it ended.
+    PromotionCallEnded = 314,
     /// This host stopped using a primary that is being replaced.
     PrimaryReleased = 313,
     /// The leader makes no promotion call, as one of an earlier leader may still arrive.
