--- a/crates/hemlockcrank_host/src/control/call_report.rs
+++ b/crates/hemlockcrank_host/src/control/call_report.rs
@@ -19,6 +19,8 @@
     Answered,
     /// The answer has no status.
     Unreadable,
+    /// The connection was reset because the lease ended before the answer.
+    LeaseEnded,
     /// No answer within the time limit.
     TimedOut,
     /// The platform closed or reset the connection.
@@ -40,6 +42,11 @@
     pub connected_ms: Option<u64>,
     /// Time left of the lease when it was checked, in milliseconds.
     pub lease_left_ms: Option<u64>,
+    /// Whether the connection was set to be reset when the call is given up.
+    pub resets: bool,
+    /// Longest time that the kernel keeps sent bytes without an acknowledgement, in milliseconds;
+    /// `None` if the kernel refused the limit.
+    pub unacknowledged_ms: Option<u64>,
     /// When the socket had taken the whole request.
     pub written_ms: Option<u64>,
 }
@@ -53,6 +60,8 @@
             status: None,
             connected_ms: None,
             lease_left_ms: None,
+            resets: false,
+            unacknowledged_ms: None,
             written_ms: None,
         }
     }
@@ -66,12 +75,14 @@
         ended_ms: u64,
     ) {
         let end: &str = self.end.into();
-        let fields: [(&str, &dyn Display); 9] = [
+        let fields: [(&str, &dyn Display); 11] = [
             ("service", service),
             ("member", member),
             ("call", &number),
             ("connected_ms", &shown(self.connected_ms)),
             ("lease_left_ms", &shown(self.lease_left_ms)),
+            ("resets", &self.resets),
+            ("unacknowledged_ms", &shown(self.unacknowledged_ms)),
             ("written_ms", &shown(self.written_ms)),
             ("ended_ms", &ended_ms),
             ("end", &end),
--- a/crates/hemlockcrank_host/src/control/promotion.rs
+++ b/crates/hemlockcrank_host/src/control/promotion.rs
@@ -1,14 +1,22 @@
 //! The leader's request for a change of primary.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use hemlockcrank_core::Name;
+use tokio::time::sleep;
 
 use crate::clock::now_ms;
 
+/// Longest time between two looks at the lease, in milliseconds. Timers do not count the time in which
+/// the machine is suspended, but the lease does.
+const LOOK_INTERVAL_MS: u64 = 50;
+
 /// A request for a change of primary.
 #[derive(Clone, Debug)]
 pub struct Promotion {
@@ -32,4 +40,15 @@
         let until = self.lease_until.load(Ordering::Acquire);
         until.saturating_sub(now_ms())
     }
+
+    /// Waits until the lease has ended, extensions included. A call without an answer must be reset then.
+    pub async fn ended(&self) {
+        loop {
+            let left_ms = self.lease_left_ms();
+            if left_ms == 0 {
+                return;
+            }
+            sleep(Duration::from_millis(left_ms.min(LOOK_INTERVAL_MS))).await;
+        }
+    }
 }
