--- a/crates/hemlockcrank_host/src/engine/member_connection.rs
+++ b/crates/hemlockcrank_host/src/engine/member_connection.rs
@@ -18,7 +18,7 @@
 use super::protocol::{
     Code, MemberMessage, PreparedStatement, Protocol, ProxyStatement, Query, Startup, Status,
 };
-use crate::dial::dial;
+use crate::dial::{close_on_drop, dial, limit_unacknowledged, reset_on_drop};
 
 /// Maximum length of a member's message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
@@ -57,6 +57,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Broken;
 
+/// What a connection is opened for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Statements of callers.
+    Callers,
+    /// One order of the control leader. It must not arrive after it was given up, even if this process
+    /// is killed or stopped meanwhile.
+    Order,
+}
+
 /// The member that a connection goes to, and the local address that it comes from.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -94,6 +104,9 @@
 }
 
 /// One connection to a member, with the session state that was set up on it.
+///
+/// A connection that is dropped while an answer is outstanding is reset: what has not reached the member
+/// by then never does. One without is closed.
 #[derive(Debug)]
 pub(crate) struct MemberConnection {
     stream: TcpStream,
@@ -101,7 +114,9 @@
     protocol: Protocol,
     pub(crate) values: SessionValues,
     prepared: PreparedNames,
-    /// Statements that were sent and whose answers have not been read whole.
+    purpose: Purpose,
+    /// Statements that were sent and whose answers have not been read whole; the request to open the
+    /// session is one.
     outstanding: usize,
     /// Status after the last answer.
     status: Status,
@@ -113,40 +128,65 @@
         protocol: Protocol,
         target: &Target,
         workspace: &Name,
+        purpose: Purpose,
         limit: Duration,
     ) -> Result<Self, OpenError> {
-        let opened = timeout(limit, Self::connect(protocol, target, workspace));
+        let opened = timeout(
+            limit,
+            Self::connect(protocol, target, workspace, purpose, limit),
+        );
         let mut connection = opened
             .await
             .map_err(|_| OpenError::Unreached)?
             .map_err(|_| OpenError::Unreached)?;
         match timeout(limit, connection.read_message()).await {
-            Ok(Ok(MemberMessage::Ready { .. })) => Ok(connection),
-            Ok(Ok(MemberMessage::Failed(code, _))) => Err(OpenError::Refused(code)),
+            Ok(Ok(MemberMessage::Ready { .. })) => {
+                connection.outstanding = 0;
+                Ok(connection)
+            }
+            Ok(Ok(MemberMessage::Failed(code, _))) => {
+                connection.outstanding = 0;
+                Err(OpenError::Refused(code))
+            }
             _ => Err(OpenError::Unreached),
         }
     }
 
-    async fn connect(protocol: Protocol, target: &Target, workspace: &Name) -> io::Result<Self> {
-        let mut stream = dial(target.source, target.address).await?;
+    async fn connect(
+        protocol: Protocol,
+        target: &Target,
+        workspace: &Name,
+        purpose: Purpose,
+        limit: Duration,
+    ) -> io::Result<Self> {
+        let stream = dial(target.source, target.address).await?;
         stream.set_nodelay(true)?;
-        let mut output = BytesMut::new();
-        let startup = Startup {
-            service: &target.service,
-            workspace,
-            member: &target.member,
-        };
-        (protocol.write_startup)(&mut output, &startup);
-        stream.write_all(&output).await?;
-        Ok(Self {
+        if purpose == Purpose::Order {
+            // An order goes out even if the kernel refuses one of the options, because no primary could
+            // be changed otherwise.
+            let _ = reset_on_drop(&stream);
+            let _ = limit_unacknowledged(&stream, limit);
+        }
+        let mut connection = Self {
             stream,
             input: BytesMut::new(),
             protocol,
             values: SessionValues::new(),
             prepared: PreparedNames::default(),
+            purpose,
             outstanding: 0,
             status: Status::Idle,
-        })
+        };
+        let mut output = BytesMut::new();
+        let startup = Startup {
+            service: &target.service,
+            workspace,
+            member: &target.member,
+        };
+        (protocol.write_startup)(&mut output, &startup);
+        connection.outstanding = 1;
+        connection.stream.write_all(&output).await?;
+        Ok(connection)
     }
 
     /// Whether the member has neither closed the connection nor sent data that was not requested.
@@ -306,3 +346,16 @@
         }
     }
 }
+
+impl Drop for MemberConnection {
+    fn drop(&mut self) {
+        // Without the option the connection is closed, and a late statement may arrive; there is nothing
+        // else to do then.
+        let _ = match (self.purpose, self.outstanding) {
+            (Purpose::Callers, 0) => Ok(()),
+            (Purpose::Callers, _) => reset_on_drop(&self.stream),
+            (Purpose::Order, 0) => close_on_drop(&self.stream),
+            (Purpose::Order, _) => Ok(()),
+        };
+    }
+}
--- a/crates/hemlockcrank_host/src/engine/order.rs
+++ b/crates/hemlockcrank_host/src/engine/order.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Code, Protocol, ProxyStatement,
-    member_connection::{MemberConnection, OpenError, Target},
+    member_connection::{MemberConnection, OpenError, Purpose, Target},
 };
 use crate::control::Dispatch;
 
@@ -44,6 +44,7 @@
         protocol,
         &target,
         &Name::from(PROXY_WORKSPACE),
+        Purpose::Order,
         ORDER_TIMEOUT,
     )
     .await
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -23,7 +23,7 @@
 
 use super::{
     Code, Protocol,
-    member_connection::{MemberConnection, OpenError, SessionValues, Target},
+    member_connection::{MemberConnection, OpenError, Purpose, SessionValues, Target},
 };
 use crate::{clock::now_ms, sync::lock};
 
@@ -208,8 +208,14 @@
                 pool: &pool,
                 workspace: Some(workspace.clone()),
             };
-            let opened =
-                MemberConnection::open(pool.protocol, &pool.target, &workspace, OPEN_TIMEOUT).await;
+            let opened = MemberConnection::open(
+                pool.protocol,
+                &pool.target,
+                &workspace,
+                Purpose::Callers,
+                OPEN_TIMEOUT,
+            )
+            .await;
             match opened {
                 Ok(connection) => {
                     opening.workspace = None;
