--- a/crates/hemlockcrank/tests/soak/history.rs
+++ b/crates/hemlockcrank/tests/soak/history.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     caller::{Caller, Outcome},
+    promotions::Promoted,
     stand_in::Group,
 };
 
@@ -27,8 +28,8 @@
 
 #[derive(Debug, Default)]
 struct Outcomes {
-    /// Items whose write was acknowledged.
-    saved: BTreeSet<String>,
+    /// Items whose write was acknowledged, each with the time of the acknowledgement.
+    saved: BTreeMap<String, Instant>,
     /// Items whose write was reported as not run.
     refused: BTreeSet<String>,
     /// Items whose write has an unknown outcome.
@@ -203,7 +204,7 @@
         let mut outcomes = self.outcomes.lock().expect("outcomes");
         match outcome {
             Outcome::Done(_) => {
-                outcomes.saved.insert(item.into());
+                outcomes.saved.insert(item.into(), Instant::now());
                 *last_saved = Some(item.into());
             }
             Outcome::NotRun => {
@@ -244,7 +245,7 @@
             *counts.entry(item).or_default() += 1;
         }
         let count = |item: &String| counts.get(item.as_str()).copied().unwrap_or(0);
-        let lost = outcomes.saved.iter().filter(|item| count(item) == 0);
+        let lost = outcomes.saved.keys().filter(|item| count(item) == 0);
         violations.extend(lost.map(|item| format!("{item} was acknowledged but is lost")));
         let applied = outcomes.refused.iter().filter(|item| count(item) > 0);
         violations.extend(applied.map(|item| format!("{item} was refused but is in the log")));
@@ -254,6 +255,34 @@
         violations
     }
 
+    /// Returns the promotions of members that lacked items which had been acknowledged by then.
+    pub(crate) fn check_promoted(&self, promoted: &[Promoted]) -> Vec<String> {
+        let outcomes = self.outcomes.lock().expect("outcomes");
+        let mut violations = Vec::new();
+        for Promoted {
+            member,
+            token,
+            at,
+            items,
+        } in promoted
+        {
+            let saved = outcomes.saved.iter();
+            let acknowledged = saved.filter(|(_, saved_at)| *saved_at < at);
+            let lost: Vec<&String> = acknowledged
+                .map(|(item, _)| item)
+                .filter(|item| !items.contains(*item))
+                .collect();
+            if let Some(first) = lost.first() {
+                violations.push(format!(
+                    "LOST: {member} was promoted with token {token} without {} acknowledged items, \
+                     {first} among them",
+                    lost.len()
+                ));
+            }
+        }
+        violations
+    }
+
     /// Number of operations by outcome, for the report.
     pub(crate) fn summary(&self) -> String {
         let outcomes = self.outcomes.lock().expect("outcomes");
--- a/crates/hemlockcrank/tests/soak/main.rs
+++ b/crates/hemlockcrank/tests/soak/main.rs
@@ -5,6 +5,8 @@
 //!
 //! - No acknowledged write is lost, and no write is applied twice.
 //! - No refused write is applied.
+//! - No member is promoted without a write that was acknowledged before.
+//! - No promotion call arrives at the platform after one with a higher fencing token.
 //! - No read misses an earlier write of its session.
 //! - No key works for longer than [`history::WITHDRAWAL_LIMIT`] after its withdrawal was
 //!   acknowledged.
@@ -18,15 +20,22 @@
 
 #[path = "../../../../platform/tests/fixture/caller.rs"]
 mod caller;
+mod calls;
 mod fault;
 #[path = "../../../../platform/tests/fixture/held.rs"]
 mod held;
 mod history;
+mod host;
+mod inject;
+#[path = "../../../../platform/tests/fixture/link.rs"]
+mod link;
+mod links;
 #[path = "../../../../platform/tests/fixture/operator.rs"]
 mod operator;
 mod orders;
 #[path = "../shared/process.rs"]
 mod process;
+mod promotions;
 mod proxy;
 mod site;
 #[path = "../../../../platform/tests/fixture/stand_in.rs"]
@@ -38,7 +47,7 @@
     ChaCha8Rng,
     rand_core::{Rng, SeedableRng},
 };
-use tokio::time::sleep;
+use tokio::{task::JoinHandle, time::sleep};
 
 use fault::Fault;
 use history::History;
@@ -65,16 +74,21 @@
     SEEDS.into_iter().chain(failed).collect()
 }
 
+/// Starts the callers of all entry hosts.
+pub(crate) fn start_callers(site: &Site, history: &Arc<History>) -> Vec<JoinHandle<()>> {
+    let numbers = 0..CALLERS_PER_ENTRY * site.callers.len();
+    let start = |number: usize| {
+        let address = site.callers[number % site.callers.len()];
+        tokio::spawn(Arc::clone(history).run_caller(number, address))
+    };
+    numbers.map(start).collect()
+}
+
 async fn run(seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut site = Site::start(seed).await;
     let history = Arc::new(History::new(seed));
-    let callers: Vec<_> = (0..CALLERS_PER_ENTRY * site.callers.len())
-        .map(|number| {
-            let address = site.callers[number % site.callers.len()];
-            tokio::spawn(Arc::clone(&history).run_caller(number, address))
-        })
-        .collect();
+    let callers = start_callers(&site, &history);
     for _ in 0..FAULTS {
         let fault = Fault::draw(&mut random);
         println!("seed {seed}: {fault:?}");
@@ -88,10 +102,11 @@
         caller.await.expect("caller task");
     }
     site.wait_ready().await;
-    let violations = history.check(&site.group, site.read_version().await);
+    let violations = site.check(&history).await;
+    let promotions = site.promotions.summary();
     assert!(
         violations.is_empty(),
-        "seed {seed}, files in {}: {violations:#?}",
+        "seed {seed}, files in {}: {violations:#?}, promotions: {promotions:#?}",
         site.keep_files().display()
     );
     println!("seed {seed}: {}", history.summary());
--- a/crates/hemlockcrank/tests/soak/proxy.rs
+++ b/crates/hemlockcrank/tests/soak/proxy.rs
@@ -69,6 +69,11 @@
         self.0.blocked.lock().expect("blocked").extend(hosts);
     }
 
+    /// Ends the partition of a host.
+    pub(crate) fn reconnect(&self, host: IpAddr) {
+        self.0.blocked.lock().expect("blocked").remove(&host);
+    }
+
     /// Ends all partitions.
     pub(crate) fn heal(&self) {
         self.0.blocked.lock().expect("blocked").clear();
--- a/crates/hemlockcrank/tests/soak/site.rs
+++ b/crates/hemlockcrank/tests/soak/site.rs
@@ -1,23 +1,23 @@
-//! The system under test: control and entry hosts as processes, members behind proxies, and the
-//! injection of faults.
+//! The system under test: control and entry hosts as processes, and members. All are behind links
+//! that faults can cut.
 
 use std::{
-    io::Write,
-    net::{IpAddr, SocketAddr},
+    net::SocketAddr,
     path::{Path, PathBuf},
     time::Duration,
 };
 
-use rand_chacha::{ChaCha8Rng, rand_core::Rng};
 use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
 use crate::{
     caller::{Caller, Outcome},
-    fault::{CONTROLS, ENTRIES, Fault, MEMBERS, Stop},
+    fault::{CONTROLS, ENTRIES, MEMBERS},
     history::History,
+    host::Host,
+    links::Links,
     operator,
-    process::Process,
+    promotions::Promotions,
     proxy::Proxy,
     stand_in::Group,
 };
@@ -28,51 +28,27 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two heartbeats of a member.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// Time that a control host needs to catch up before the next one may lose its disk.
-const CATCH_UP_DURATION: Duration = Duration::from_secs(4);
-/// File name of a control host's journal.
-const JOURNAL_FILE: &str = "control.journal";
+/// Longest wait for a host's status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Names of the members.
-const MEMBER_NAMES: [&str; MEMBERS] = ["a", "b", "c"];
-
-/// A host with its settings and, while it runs, its process.
-struct Host {
-    ip: String,
-    settings: Value,
-    process: Option<Process>,
-}
-
-impl Host {
-    fn start(&mut self, folder: &Path) {
-        let process = Process::start(&self.ip, &self.settings.to_string(), folder);
-        self.process = Some(process);
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut process) = self.process.take() {
-            process.kill();
-        }
-    }
-
-    fn data_dir(&self) -> PathBuf {
-        PathBuf::from(self.settings["data_dir"].as_str().unwrap_or_default())
-    }
-}
+pub(crate) const MEMBER_NAMES: [&str; MEMBERS] = ["a", "b", "c"];
 
 /// The running system.
 pub(crate) struct Site {
     pub(crate) group: Group,
     /// Caller addresses of the entry hosts.
     pub(crate) callers: Vec<SocketAddr>,
-    controls: Vec<Host>,
-    entries: Vec<Host>,
+    pub(crate) controls: Vec<Host>,
+    pub(crate) entries: Vec<Host>,
     /// One proxy per member.
-    proxies: Vec<Proxy>,
+    pub(crate) proxies: Vec<Proxy>,
+    pub(crate) links: Links,
+    pub(crate) promotions: Promotions,
     /// HTTP addresses of the control hosts.
     pub(crate) control_addresses: Vec<SocketAddr>,
-    folder: PathBuf,
+    pub(crate) folder: PathBuf,
     /// Version of the configuration that was submitted last.
-    version: u64,
+    pub(crate) version: u64,
     /// Whether the files remain after the run.
     keep_files: bool,
 }
@@ -108,7 +84,8 @@
             proxies.push(proxy);
             members.push((name, proxy_address));
         }
-        let promotions = group.start_promotions().await;
+        let (promotions, promotions_address) = Promotions::start(group.clone()).await;
+        let links = Links::start(&control_ips, &entry_ips, peer_port, promotions_address).await;
         let seeds: Vec<&str> = control_ips.iter().map(String::as_str).collect();
         let control_addresses: Vec<SocketAddr> = control_ips
             .iter()
@@ -118,17 +95,24 @@
             .iter()
             .map(|ip| operator::free_address(ip))
             .collect();
-        let host = |ip: &String, options: Value| Host {
-            settings: operator::settings(ip, peer_port, &seeds, true, &options),
-            ip: ip.clone(),
-            process: None,
+        let host = |ip: &String, options: Value| {
+            let mut settings = operator::settings(ip, peer_port, &seeds, true, &options);
+            settings["peers"] = links.peers_of(ip);
+            Host {
+                settings,
+                ip: ip.clone(),
+                process: None,
+            }
         };
         let control = |(ip, address): (&String, &SocketAddr)| {
             let data_dir = folder.join(ip);
-            host(
-                ip,
-                json!({"control": address, "promotions": promotions, "data_dir": data_dir}),
-            )
+            let promotions = links.promotions_of(ip).address;
+            let fields =
+                json!({"control": address, "promotions": promotions, "data_dir": data_dir});
+            let mut control = host(ip, fields);
+            // Nobody listens there, so that no other host gets past its link.
+            control.settings["advertise_peer"] = json!(operator::free_address(ip));
+            control
         };
         let entry = |(ip, caller): (&String, &SocketAddr)| {
             host(
@@ -146,7 +130,9 @@
             group,
             callers,
             proxies,
+            promotions,
             control_addresses,
+            links,
             folder,
             version: 1,
             keep_files: std::env::var_os("SOAK_KEEP").is_some(),
@@ -168,35 +154,35 @@
         site
     }
 
-    /// Starts a task that sends the heartbeats of the members. Each goes to one control host after
-    /// the other until one accepts it.
+    /// Starts a task per member that sends its heartbeats. Each goes to one control host after the
+    /// other until one accepts it, first to the one that accepted the last.
     fn send_heartbeats(&self, members: Vec<(String, SocketAddr)>) {
-        let (group, control_addresses) = (self.group.clone(), self.control_addresses.clone());
-        let client = client();
-        tokio::spawn(async move {
-            for seq in 1.. {
-                for (name, address) in &members {
+        for (name, address) in members {
+            let (group, control_addresses) = (self.group.clone(), self.control_addresses.clone());
+            let client = client();
+            tokio::spawn(async move {
+                let mut first = 0;
+                for seq in 1.. {
                     let (down, primary) =
-                        group.with_member(name, |member| (member.down, member.primary));
-                    if down {
-                        continue;
-                    }
-                    let body = operator::heartbeat(*address, primary, seq).to_string();
-                    for control in &control_addresses {
-                        let url = format!("http://{control}/instances/{name}");
+                        group.with_member(&name, |member| (member.down, member.primary));
+                    let body = operator::heartbeat(address, primary, seq).to_string();
+                    for attempt in 0..control_addresses.len() * usize::from(!down) {
+                        let host = (first + attempt) % control_addresses.len();
+                        let url = format!("http://{}/instances/{name}", control_addresses[host]);
                         let response = client.put(url).body(body.clone()).send().await;
                         if response.is_ok_and(|response| response.status().is_success()) {
+                            first = host;
                             break;
                         }
                     }
+                    sleep(HEARTBEAT_INTERVAL).await;
                 }
-                sleep(HEARTBEAT_INTERVAL).await;
-            }
-        });
+            });
+        }
     }
 
     /// Sends a configuration to one control host after the other until one acknowledges it.
-    async fn submit(&self, body: &Value) -> bool {
+    pub(crate) async fn submit(&self, body: &Value) -> bool {
         let client = client();
         let submitted = timeout(TIMEOUT, async {
             for attempt in 0.. {
@@ -237,6 +223,43 @@
         process.expect("a process").signal(signal);
     }
 
+    /// Number of the control host that leads, other than `except`; waits until there is one.
+    pub(crate) async fn leader(&self, except: Option<usize>) -> usize {
+        let found = timeout(TIMEOUT, async {
+            loop {
+                let hosts = (0..self.controls.len()).filter(|host| Some(*host) != except);
+                for host in hosts {
+                    if self.leads(host).await {
+                        return host;
+                    }
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        });
+        found.await.expect("a control host leads")
+    }
+
+    /// Whether a control host leads, by its own status.
+    async fn leads(&self, host: usize) -> bool {
+        let operator = &self.controls[host].settings["listen"]["operator"];
+        let url = format!("http://{}/v1/status", operator.as_str().unwrap_or_default());
+        let request = client().get(url).bearer_auth("operator-secret");
+        let read = timeout(STATUS_TIMEOUT, async {
+            let text = request.send().await.ok()?.text().await.ok()?;
+            let status: Value = serde_json::from_str(&text).ok()?;
+            Some(status["role"] == "leader")
+        });
+        matches!(read.await, Ok(Some(true)))
+    }
+
+    /// Returns all violated guarantees of a run that has ended.
+    pub(crate) async fn check(&self, history: &History) -> Vec<String> {
+        let mut violations = history.check(&self.group, self.read_version().await);
+        violations.extend(self.promotions.check_order());
+        violations.extend(history.check_promoted(&self.promotions.promoted()));
+        violations
+    }
+
     /// Reads the version of the configuration in force from the first control host that answers.
     pub(crate) async fn read_version(&self) -> Option<u64> {
         let client = client();
@@ -281,106 +304,6 @@
         format!("k{}", self.version - 1)
     }
 
-    /// Injects a fault, and repairs it if it has a duration.
-    pub(crate) async fn inject(
-        &mut self,
-        fault: &Fault,
-        history: &History,
-        random: &mut ChaCha8Rng,
-    ) {
-        match *fault {
-            Fault::Control {
-                host,
-                stop,
-                duration_ms,
-            } => {
-                stop_host(
-                    &mut self.controls[host],
-                    &self.folder,
-                    stop,
-                    duration_ms,
-                    random,
-                )
-                .await;
-                if stop == Stop::Wipe {
-                    sleep(CATCH_UP_DURATION).await;
-                }
-            }
-            Fault::Entry {
-                host,
-                stop,
-                duration_ms,
-            } => {
-                stop_host(
-                    &mut self.entries[host],
-                    &self.folder,
-                    stop,
-                    duration_ms,
-                    random,
-                )
-                .await;
-            }
-            Fault::AllControls { duration_ms } => {
-                self.controls.iter_mut().for_each(Host::kill);
-                sleep(Duration::from_millis(duration_ms)).await;
-                for host in &mut self.controls {
-                    host.start(&self.folder);
-                }
-            }
-            Fault::Crash { duration_ms } => {
-                if let Some(primary) = self.group.primary() {
-                    self.group
-                        .with_member(&primary, |member| member.down = true);
-                    sleep(Duration::from_millis(duration_ms)).await;
-                    self.group.recover(&primary);
-                }
-            }
-            Fault::LoseAnswers { member, count } => {
-                self.group.with_member(MEMBER_NAMES[member], |member| {
-                    member.answers_to_drop = count;
-                });
-            }
-            Fault::Partition {
-                entry,
-                member,
-                duration_ms,
-            } => {
-                let all = self.controls.iter().chain(&self.entries);
-                let hosts: Vec<IpAddr> = match entry {
-                    Some(entry) => vec![address(&self.entries[entry])],
-                    None => all.map(address).collect(),
-                };
-                self.proxies[member].partition(hosts);
-                sleep(Duration::from_millis(duration_ms)).await;
-                self.proxies[member].heal();
-            }
-            Fault::Stall { member } => self.proxies[member].stall(),
-            Fault::Reset { member } => self.proxies[member].reset(),
-            Fault::Withdraw => {
-                self.version += 1;
-                let key = self.newest_key();
-                history.add_key(&key);
-                let body = operator::configuration(self.version, &[key.as_str()]);
-                assert!(
-                    self.submit(&body).await,
-                    "the configuration is acknowledged"
-                );
-                history.record_configuration(self.version);
-            }
-        }
-    }
-
-    /// Ends all partitions and stops losing answers.
-    pub(crate) async fn heal(&mut self) {
-        for proxy in &self.proxies {
-            proxy.heal();
-        }
-        for name in MEMBER_NAMES {
-            self.group
-                .with_member(name, |member| member.answers_to_drop = 0);
-        }
-    }
-
     /// Keeps the files of the run, and returns their folder.
     pub(crate) fn keep_files(&mut self) -> &Path {
         self.keep_files = true;
@@ -392,60 +315,3 @@
     let client = reqwest::Client::builder().timeout(Duration::from_secs(1));
     client.build().expect("client")
 }
-
-fn address(host: &Host) -> IpAddr {
-    host.ip.parse().expect("IP address")
-}
-
-async fn stop_host(
-    host: &mut Host,
-    folder: &Path,
-    stop: Stop,
-    duration_ms: u64,
-    random: &mut ChaCha8Rng,
-) {
-    let pause = Duration::from_millis(duration_ms);
-    match stop {
-        Stop::Freeze => {
-            if let Some(process) = &host.process {
-                process.signal("-STOP");
-                sleep(pause).await;
-                process.signal("-CONT");
-            }
-            return;
-        }
-        Stop::Terminate => {
-            if let Some(mut process) = host.process.take() {
-                process.signal("-TERM");
-                assert_eq!(
-                    process.wait_for_exit().await,
-                    Some(0),
-                    "exit status of {}",
-                    host.ip
-                );
-            }
-        }
-        Stop::Kill | Stop::Torn | Stop::Wipe => host.kill(),
-    }
-    match stop {
-        Stop::Wipe => {
-            let _ = std::fs::remove_dir_all(host.data_dir());
-        }
-        Stop::Torn => append_torn_record(&host.data_dir(), random),
-        Stop::Kill | Stop::Terminate | Stop::Freeze => {}
-    }
-    sleep(pause).await;
-    host.start(folder);
-}
-
-/// Appends random bytes to the journal, as an incomplete write would leave them.
-fn append_torn_record(data_dir: &Path, random: &mut ChaCha8Rng) {
-    let mut torn = vec![0; 1 + (random.next_u64() % 40) as usize];
-    random.fill_bytes(&mut torn);
-    let journal = std::fs::OpenOptions::new()
-        .append(true)
-        .open(data_dir.join(JOURNAL_FILE));
-    if let Ok(mut journal) = journal {
-        let _ = journal.write_all(&torn);
-    }
-}
