--- a/crates/hemlockcrank/tests/soak/main.rs
+++ b/crates/hemlockcrank/tests/soak/main.rs
@@ -28,6 +28,7 @@
 mod host;
 mod inject;
 #[path = "../../../../platform/tests/fixture/link.rs"]
+#[expect(dead_code, reason = "the tests of the platform use the rest")]
 mod link;
 mod links;
 #[path = "../../../../platform/tests/fixture/operator.rs"]
