--- a/crates/hemlockcrank_wire/src/client.rs
+++ b/crates/hemlockcrank_wire/src/client.rs
@@ -139,6 +139,9 @@
             .await
             .map_err(|_| h2::Error::from(h2::Reason::CONNECT_ERROR))?;
         let _ = stream.set_nodelay(true);
+        // The connection ends when no call is open, or when one was given up. A reset then recalls what
+        // the peer has not received; after a plain close a cut link would deliver it later.
+        let _ = stream.set_zero_linger();
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(WINDOW_BYTES)
             .initial_connection_window_size(WINDOW_BYTES)
