--- a/crates/hemlockcrank/tests/soak/main.rs
+++ b/crates/hemlockcrank/tests/soak/main.rs
@@ -40,6 +40,7 @@
 mod proxy;
 mod site;
 #[path = "../../../../platform/tests/fixture/stand_in.rs"]
+#[expect(dead_code, reason = "the tests of the platform use the rest")]
 mod stand_in;
 
 use std::{sync::Arc, time::Duration};
--- a/crates/hemlockcrank_host/src/engine.rs
+++ b/crates/hemlockcrank_host/src/engine.rs
@@ -9,6 +9,7 @@
 //! - `read`, `write`: one statement outside a transaction.
 //! - `pool`: connections to one member; `member_connection`: one connection.
 //! - [`Primaries`]: what this host has observed of primaries; shared with the control thread.
+//! - `witness`: members that must receive a commit before it is acknowledged.
 //! - `admission`: checks of lease, key and rate.
 
 mod admission;
@@ -22,6 +23,7 @@
 mod serve;
 mod session;
 mod transaction;
+mod witness;
 mod write;
 
 pub use order::execute_order;
--- a/crates/hemlockcrank_host/src/engine/order.rs
+++ b/crates/hemlockcrank_host/src/engine/order.rs
@@ -53,7 +53,17 @@
         Err(OpenError::Refused(Code::TooMany | Code::Busy)) => return Some(OrderReply::Busy),
         Err(_) => return None,
     };
-    let answer = timeout(ORDER_TIMEOUT, connection.run_proxy_statements(&[statement]))
+    read_reply(protocol, &mut connection, &[statement]).await
+}
+
+/// Runs statements of which the last one returns the member's status row; `None` without an answer
+/// in time.
+pub(super) async fn read_reply(
+    protocol: Protocol,
+    connection: &mut MemberConnection,
+    statements: &[ProxyStatement],
+) -> Option<OrderReply> {
+    let answer = timeout(ORDER_TIMEOUT, connection.run_proxy_statements(statements))
         .await
         .ok()?
         .ok()??;
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -24,6 +24,7 @@
 use super::{
     Code, Protocol,
     member_connection::{MemberConnection, OpenError, Purpose, SessionValues, Target},
+    witness::Receipt,
 };
 use crate::{clock::now_ms, sync::lock};
 
@@ -80,7 +81,9 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     pub(crate) target: Target,
-    protocol: Protocol,
+    pub(super) protocol: Protocol,
+    /// Log position that the member has received, if it is a witness.
+    pub(super) receipt: Receipt,
     inner: Mutex<Inner>,
 }
 
@@ -101,6 +104,7 @@
         Arc::new(Self {
             target,
             protocol,
+            receipt: Receipt::default(),
             inner: Mutex::new(inner),
         })
     }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -422,13 +422,17 @@
 
 /// Outcome for the trail: the position that a member has reached, and the one that it had to reach.
 pub(crate) fn lagging(reached: Option<Position>, required: Option<Position>) -> String {
-    let position_text = |position: Option<Position>| match position {
-        Some(Position { term, index }) => format!("{term}.{index}"),
-        None => "-".to_owned(),
-    };
     format!(
         "lagging:{}<{}",
         position_text(reached),
         position_text(required)
     )
 }
+
+/// Text of a position for the log.
+pub(crate) fn position_text(position: Option<Position>) -> String {
+    match position {
+        Some(Position { term, index }) => format!("{term}.{index}"),
+        None => "-".to_owned(),
+    }
+}
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -317,16 +317,15 @@
             };
             if let Some(guard) = &pinned.guard {
                 proxy.record_primary_answer(&service, guard.term(), sent_at, &answer);
-                let has_authority = guard.is_current() && proxy.host_state().has_lease();
-                if step == Step::Commit && self.wrote && answer.outcome.is_ok() {
-                    // A new primary may lack this commit, so it is not acknowledged.
-                    if !has_authority {
-                        return lost();
-                    }
-                    if let Some(position) = answer.position {
-                        proxy.primaries.record_acknowledged(&service, position);
-                    }
-                }
+            }
+            let wrote = step == Step::Commit && self.wrote && answer.outcome.is_ok();
+            if wrote && let Some(guard) = pinned.guard.take() {
+                // The connection is free again during the wait for witnesses.
+                self.pinned = None;
+                return match proxy.acknowledge(execution, &guard, answer.position).await {
+                    true => Ok(answer),
+                    false => lost(),
+                };
             }
             let busy = matches!(&answer.outcome, Err((Code::Busy, _)));
             if busy && answer.status == Status::Open {
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -74,7 +74,7 @@
         choice: &Choice,
     ) -> Result<Answer, AttemptError> {
         let service = &execution.operation.route.service;
-        let _in_flight = choice.pool.track_in_flight();
+        let in_flight = choice.pool.track_in_flight();
         let mut pooled = match choice
             .pool
             .acquire(execution.connection_request(), execution.acquire_timeout())
@@ -106,13 +106,10 @@
             .update_load(|load| load.record_success(now.saturating_sub(sent_at)));
         self.record_primary_answer(service, guard.term(), sent_at, &answer);
         match &answer.outcome {
-            // A new primary may lack this commit, so it is not acknowledged.
-            Ok(_) if !guard.is_current() || !self.host_state().has_lease() => {
-                Err(AttemptError::Lost)
-            }
             Ok(_) => {
-                if let Some(position) = answer.position {
-                    self.primaries.record_acknowledged(service, position);
+                drop((pooled, in_flight));
+                if !self.acknowledge(execution, guard, answer.position).await {
+                    return Err(AttemptError::Lost);
                 }
                 Ok(answer)
             }
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -93,6 +93,8 @@
     PrimaryReleased = 313,
     /// The leader makes no promotion call, as one of an earlier leader may still arrive.
     PromotionWithheld = 315,
+    /// A witness did not confirm in time that it has received a commit.
+    WitnessMissed = 316,
     /// A caller was refused at the start of its connection.
     CallerRefused = 400,
     /// A caller's key was withdrawn while it was connected.
