--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -163,7 +163,8 @@
         /// Whether members in the zone take new work.
         in_service: bool,
     },
-    /// The only member that may be promoted in a change, until another one is nominated.
+    /// The only member that may be promoted in a change, until another one is nominated, as logged by
+    /// programs before version 6 of the protocol between hosts.
     Nominate {
         /// Service.
         service: Name,
@@ -186,7 +187,7 @@
     },
     /// An operator's order on an availability zone; changes nothing if a newer one is committed.
     Order(ZoneOrder),
-    /// A control leader is about to ask the platform to promote the nominated member.
+    /// A control leader nominates a member, and is about to ask the platform to promote it.
     Intent(Intent),
 }
 
--- a/crates/hemlockcrank_core/src/group/intent.rs
+++ b/crates/hemlockcrank_core/src/group/intent.rs
@@ -13,10 +13,12 @@
     pub service: Name,
     /// Change in progress.
     pub change: u64,
-    /// Nominated member.
+    /// Member, which is nominated with the intent.
     pub member: Name,
     /// Start of the member's process.
     pub born: u64,
+    /// Member that was nominated before in this change; a nomination in place of another one is stale.
+    pub previous: Option<Name>,
     /// Name of the control host that calls.
     pub host: Name,
     /// Its term as the leader of the control group.
@@ -44,15 +46,17 @@
         })
     }
 
-    /// Records an intent for the nominated member; one for another member or an earlier change is
-    /// stale.
+    /// Nominates the member of an intent and records it; an intent of an earlier change, or in place of
+    /// another nomination than it names, is stale.
     pub(super) fn intend(&mut self, intent: &Intent) -> bool {
         let nominee = Nominee {
             member: intent.member.clone(),
             born: intent.born,
             change: intent.change,
         };
-        if self.nominee(&intent.service) != Some(&nominee) {
+        let is_nominated = self.nominee(&intent.service) == Some(&nominee)
+            || self.nominate(&intent.service, nominee, intent.previous.as_ref());
+        if !is_nominated {
             return false;
         }
         let intents = self.intents.entry(intent.service.clone()).or_default();
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -17,7 +17,7 @@
 //!    members are paused and the member is the most advanced of them; or every host has reported
 //!    and the member has reached every commit that they acknowledged. Without a proof the change
 //!    waits: waiting costs availability, but a lost commit cannot be recovered.
-//!    The nomination is committed ([`Edit::Nominate`]) before the platform is asked to promote the
+//!    The nomination is committed ([`Edit::Intent`]) before the platform is asked to promote the
 //!    member. The platform may answer late or never, and may carry out a call after the answer was
 //!    given up, so no other member is promoted until the call certainly has no effect any more; this
 //!    binds later control leaders too (module `calls`).
--- a/crates/hemlockcrank_core/src/succession/calls.rs
+++ b/crates/hemlockcrank_core/src/succession/calls.rs
@@ -18,7 +18,7 @@
 use super::PromotionReply;
 use crate::{
     Name,
-    group::{Group, Intent, Nominee},
+    group::{Intent, Nominee},
 };
 
 /// Time that the platform takes at most to carry out a call that has reached it, in milliseconds.
@@ -58,8 +58,9 @@
             CallState::Accepted { at } | CallState::Unclear { ended_at: at } => {
                 now >= at + SETTLE_MS
             }
-            CallState::Earlier { returned_at, .. } => returned_at
-                .is_some_and(|at| now >= at + LANDING_MS && now >= self.sent_at + SETTLE_MS),
+            CallState::Earlier { returned_at, .. } => {
+                returned_at.is_some_and(|at| now >= at + LANDING_MS + SETTLE_MS)
+            }
         }
     }
 
@@ -113,7 +114,8 @@
 }
 
 impl Calls {
-    /// The calls that earlier leaders may have made.
+    /// The calls that earlier leaders may have made. A nomination without an intent comes from an older
+    /// version of the program.
     pub(super) fn new(now: u64, unsettled: Option<&Nominee>, intents: &[Intent]) -> Self {
         let mut calls = Self::default();
         for intent in intents {
@@ -244,12 +246,10 @@
     }
 
     /// Whether this member may be promoted: no call that names another member can be carried out any
-    /// more, that member has left the group, or the sender has been silent for too long.
-    pub(super) fn allow(&self, now: u64, group: &Group, member: &Name) -> bool {
+    /// more, also if that member has left the group, or the sender has been silent for too long.
+    pub(super) fn allow(&self, now: u64, member: &Name) -> bool {
         let mut others = self.open.iter().filter(|call| call.member != *member);
-        others.all(|call| {
-            call.is_waited_out(now, ABSENT_MS) || !group.members.contains_key(&call.member)
-        })
+        others.all(|call| call.is_waited_out(now, ABSENT_MS))
     }
 
     /// Members of calls that may still be carried out although their senders are not waited for any
--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -151,17 +151,15 @@
             self.calls.forget_not_running();
             return self.call(now, inputs, term, nominee);
         }
-        if !self.calls.allow(now, inputs.group, &candidate) {
+        if !self.calls.allow(now, &candidate) || self.calls.await_earlier(now) {
             return None;
         }
-        let edit = Edit::Nominate {
-            service: inputs.service.clone(),
-            change: change.index,
+        let nominee = Nominee {
             member: candidate,
             born,
-            previous: previous.cloned(),
+            change: change.index,
         };
-        self.propose(now, edit).pop()
+        self.declare(now, inputs, &nominee, previous)
     }
 
     /// Asks for the promotion of the nominated member. What proved that it holds every acknowledged
@@ -187,23 +185,31 @@
                 && intent.leadership == inputs.leadership
         });
         if !is_known {
-            let intent = self.intent(now, inputs, nominee);
-            return self.propose(now, Edit::Intent(intent)).pop();
+            return self.declare(now, inputs, nominee, None);
         }
         let number = self.calls.send(now, &nominee.member, self.change)?;
         Some(Order::Promote(nominee.member.clone(), number))
     }
 
-    fn intent(&self, now: u64, inputs: &Inputs<'_>, nominee: &Nominee) -> Intent {
-        Intent {
+    /// Commits the intent to call for a member, which also nominates it in place of `previous`.
+    fn declare(
+        &mut self,
+        now: u64,
+        inputs: &Inputs<'_>,
+        nominee: &Nominee,
+        previous: Option<&Name>,
+    ) -> Option<Order> {
+        let intent = Intent {
             service: inputs.service.clone(),
             change: nominee.change,
             member: nominee.member.clone(),
             born: nominee.born,
+            previous: previous.cloned(),
             host: inputs.host.clone(),
             leadership: inputs.leadership,
             witnesses: self.calls.doubtful(now, &nominee.member),
-        }
+        };
+        self.propose(now, Edit::Intent(intent)).pop()
     }
 
     /// The primary of the old term, also after a restart under another name.
--- a/crates/hemlockcrank_core/tests/succession/late_calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/late_calls.rs
@@ -1,7 +1,10 @@
 //! Promotion calls that reach the platform after their sender has lost its leadership: it is cut off,
 //! and the link holds its bytes until the cut ends.
 
-use hemlockcrank_core::{group::Edit, succession::Order};
+use hemlockcrank_core::{
+    group::{Age, Edit},
+    succession::Order,
+};
 
 use crate::model::{Platform, Site, TICK_MS};
 
@@ -43,8 +46,21 @@
     }
 }
 
+/// As [`held_platform`], with the time from a call's arrival to the promotion.
+fn slow_platform(held_ms: u64, effect_ms: u64) -> Platform {
+    Platform {
+        effect_ms,
+        ..held_platform(held_ms)
+    }
+}
+
 /// Runs for `duration_ms`, with a save at each tick if there is a primary.
 fn run_saving(site: &mut Site, duration_ms: u64) {
+    run_saving_without(site, duration_ms, "");
+}
+
+/// As [`run_saving`]; one member receives nothing.
+fn run_saving_without(site: &mut Site, duration_ms: u64, without: &str) {
     for _ in 0..duration_ms / TICK_MS {
         site.tick(|_| false);
         if site.change().is_some() && !site.fencing.complete {
@@ -54,7 +70,7 @@
             let primary = site.lead().member.clone();
             let others: Vec<&str> = ["a", "b", "c"]
                 .into_iter()
-                .filter(|name| **name != *primary)
+                .filter(|name| **name != *primary && *name != without)
                 .collect();
             site.write(&primary, &others);
         }
@@ -149,3 +165,77 @@
     assert!(site.acknowledged.len() > saved);
     assert_eq!(site.change(), None);
 }
+
+/// Guards against a call that counts as settled before the platform has had the time to carry it out: the
+/// sender came back late, and the platform takes 6 s.
+#[test]
+fn a_call_that_lands_when_its_sender_returns_may_still_be_carried_out() {
+    let mut site = Site::new();
+    site.platform = Some(slow_platform(CUT_MS + 2_000, 6_000));
+    let first = begin_change_until_the_call(&mut site);
+
+    site.platform = None;
+    site.cut_leader_off(CUT_MS + 2_000);
+    site.member(&first).down = true;
+    run_saving_without(&mut site, 14_000, &first);
+    site.member(&first).down = false;
+    run_saving_without(&mut site, 15_000, &first);
+    run_saving(&mut site, CUT_MS);
+
+    assert_eq!(site.change(), None);
+}
+
+/// Guards against the same for a witness: it stays one until the call that landed has been carried out.
+#[test]
+fn a_member_stays_a_witness_until_the_call_that_landed_is_carried_out() {
+    let mut site = Site::new();
+    site.platform = Some(slow_platform(2 * LONG_CUT_MS, 5_000));
+    let first = begin_change_until_the_call(&mut site);
+
+    site.platform = None;
+    site.cut_leader_off(2 * LONG_CUT_MS);
+    site.member(&first).down = true;
+    run_saving(&mut site, 20_000);
+    site.member(&first).down = false;
+    run_saving(&mut site, 9_500);
+    site.member(&first).cut_from_members = true;
+    run_saving(&mut site, 10_000);
+    site.member(&first).cut_from_members = false;
+    run_saving(&mut site, 10_000);
+
+    assert_eq!(site.change(), None);
+}
+
+/// Guards against the promotion of another member while a call is open whose member has left the group:
+/// its process may run on.
+#[test]
+fn an_open_call_for_a_member_that_left_the_group_is_waited_out() {
+    let mut site = Site::new();
+    site.platform = Some(slow_platform(0, 4_000));
+    let first = begin_change_until_the_call(&mut site);
+
+    site.platform = None;
+    let age = Age {
+        born: 1,
+        seq: u64::MAX,
+    };
+    let member = first.as_str().into();
+    site.commit(Edit::Depart { member, age });
+    run_saving_without(&mut site, 25_000, &first);
+
+    assert_eq!(site.change(), None);
+}
+
+/// Guards against a wait for a call that was never made: its leader failed right after the nomination.
+#[test]
+fn a_nomination_and_the_intent_to_call_are_one_step() {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    site.member("a").down = true;
+    site.failing_ms = Some(500);
+    while site.nominee().is_none() {
+        site.ticks(1);
+    }
+
+    assert_eq!(site.groups().intents("ledger").len(), 1);
+}
