--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -226,9 +226,12 @@
         let member = order.member().cloned();
         let group = self.state.groups.get(service);
         let recorded = member.as_ref().and_then(|name| group?.members.get(name));
-        let (Some(callbacks), Some(member), Some(ticket)) =
-            (&self.callbacks, member, self.ticket(service))
-        else {
+        let (Some(callbacks), Some(coordinator), Some(member), Some(ticket)) = (
+            &self.callbacks,
+            &self.coordinator,
+            member,
+            self.ticket(service),
+        ) else {
             return;
         };
         let answer = recorded.map(|recorded| {
@@ -237,6 +240,7 @@
                 member,
                 address: recorded.address,
                 order: order.clone(),
+                lease_until: Arc::clone(&coordinator.lease_until),
             })
         });
         let myself = self.myself.clone();
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -8,7 +8,10 @@
     fmt,
     net::SocketAddr,
     pin::Pin,
-    sync::{Arc, atomic::AtomicU64},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use hemlockcrank_core::{
@@ -55,6 +58,16 @@
     pub address: SocketAddr,
     /// The order.
     pub order: Order,
+    /// End of the leader's lease on this process's clock, in milliseconds.
+    pub lease_until: Arc<AtomicU64>,
+}
+
+impl Dispatch {
+    /// Whether the leader's lease is still valid. Check it right before the order is sent: a leader that
+    /// stood still must not carry out what it decided before.
+    pub(crate) fn is_current(&self) -> bool {
+        now_ms() < self.lease_until.load(Ordering::Acquire)
+    }
 }
 
 /// Functions through which the leader sends orders to members and requests changes of primary.
--- a/crates/hemlockcrank_host/src/engine/order.rs
+++ b/crates/hemlockcrank_host/src/engine/order.rs
@@ -37,8 +37,8 @@
     let target = Target {
         address: dispatch.address,
         source,
-        service: dispatch.service,
-        member: dispatch.member,
+        service: dispatch.service.clone(),
+        member: dispatch.member.clone(),
     };
     let mut connection = match MemberConnection::open(
         protocol,
@@ -53,6 +53,10 @@
         Err(OpenError::Refused(Code::TooMany | Code::Busy)) => return Some(OrderReply::Busy),
         Err(_) => return None,
     };
+    // Opening the connection may have taken long, also because this process stood still.
+    if !dispatch.is_current() {
+        return None;
+    }
     read_reply(protocol, &mut connection, &[statement]).await
 }
 
