--- a/crates/hemlockcrank_host/src/upstream/connection.rs
+++ b/crates/hemlockcrank_host/src/upstream/connection.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    dial::dial,
+    dial::{dial, reset_on_drop},
     pg::{Frame, PgError, Stream, tag},
     settings,
 };
@@ -92,7 +92,8 @@
     }
 }
 
-/// An open connection to a member.
+/// An open connection to a member. Dropping it resets it, so that what has not reached the member by then
+/// never does; [`Connection::close`] closes it in order.
 #[derive(Debug)]
 pub struct Connection {
     /// Message stream in both directions.
@@ -111,6 +112,8 @@
     pub dirty: bool,
     /// When it was last used.
     pub idle_since: Instant,
+    /// Set when it was closed in order.
+    closed: bool,
 }
 
 impl Connection {
@@ -148,7 +151,6 @@
             startup.parameters.insert(name.into(), value.into());
         }
         stream.queue(&startup)?;
-        stream.flush().await?;
         let mut connection = Self {
             stream,
             cancel_key: (0, SecretKey::I32(0)),
@@ -158,7 +160,9 @@
             settings_version: 0,
             dirty: false,
             idle_since: Instant::now(),
+            closed: false,
         };
+        connection.stream.flush().await?;
         connection
             .authenticate(&options.credential.password)
             .await?;
@@ -256,6 +260,17 @@
     pub async fn close(mut self) {
         let _ = self.stream.queue(&Terminate::new());
         self.stream.close().await;
+        self.closed = true;
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if !self.closed {
+            // Without the option the connection is closed, and a late statement may arrive; there is
+            // nothing else to do then.
+            let _ = reset_on_drop(self.stream.socket());
+        }
     }
 }
 
