--- a/crates/hemlockcrank_core/tests/succession/calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/calls.rs
@@ -10,7 +10,7 @@
 
 /// A planned change in which `c` answers its first order too late, so that `b` is the first member
 /// with a proof, and `c` would be chosen with the rows of both.
-fn begin_planned_change(site: &mut Site) {
+pub(crate) fn begin_planned_change(site: &mut Site) {
     site.write("a", &["b", "c"]);
     site.commit(Edit::Zone {
         zone: "zone-a".into(),
--- a/crates/hemlockcrank_core/tests/succession/late_calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/late_calls.rs
@@ -6,7 +6,10 @@
     succession::Order,
 };
 
-use crate::model::{Platform, Site, TICK_MS};
+use crate::{
+    calls::begin_planned_change,
+    model::{Platform, Site, TICK_MS},
+};
 
 /// Time for which the leader is cut off, in milliseconds.
 const CUT_MS: u64 = 10_000;
@@ -17,15 +20,7 @@
 
 /// Begins a planned change of the primary `a`, and returns the member that the leader calls for.
 fn begin_change_until_the_call(site: &mut Site) -> String {
-    site.write("a", &["b", "c"]);
-    site.commit(Edit::Zone {
-        zone: "zone-a".into(),
-        in_service: false,
-    });
-    while site.change().is_none() {
-        site.ticks(1);
-    }
-    site.release(true);
+    begin_planned_change(site);
     let mut asked = None;
     while asked.is_none() {
         site.tick(|order| {
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -1,5 +1,7 @@
 //! Model of a small group and its hosts, driven by the production [`Succession`].
 
+mod platform;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use hemlockcrank_core::{
@@ -7,17 +9,17 @@
     group::{Age, Change, Edit, Group, Groups, Lead, Member, Notice, Standing},
     session::Position,
     state::{Command, State},
-    succession::{Fencing, Inputs, Order, OrderReply, PromotionReply, Row, Succession},
+    succession::{Fencing, Inputs, Order, OrderReply, Row, Succession},
 };
 
+use platform::Call;
+pub(crate) use platform::Platform;
+
 /// Name of the only service.
 pub(crate) const SERVICE: &str = "ledger";
 /// Time that one tick takes, in milliseconds.
 pub(crate) const TICK_MS: u64 = 25;
 
-/// Time after which a sender gives up a call without an answer, in milliseconds.
-const GIVEN_UP_MS: u64 = 10_000;
-
 /// A commit: the term that it was written in, and a unique number.
 pub(crate) type Commit = (u64, u64);
 
@@ -56,35 +58,6 @@
     }
 }
 
-/// A promotion call on its way through the platform.
-#[derive(Clone, Debug)]
-struct Call {
-    member: Name,
-    number: u64,
-    /// Leadership that made the call; its answer means nothing to a later one.
-    leadership: u64,
-    /// When it reaches the platform; `None` once it has.
-    arrives_at: Option<u64>,
-    /// When it takes effect; `None` once it has.
-    effect_at: Option<u64>,
-    /// When it is answered, or given up; `None` if it was.
-    answer_at: Option<u64>,
-    /// Whether the platform answers it.
-    is_answered: bool,
-}
-
-/// How the platform treats promotion calls.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Platform {
-    /// Time from a call to the promotion, in milliseconds.
-    pub(crate) effect_ms: u64,
-    /// Time from a call to its answer, in milliseconds; `None`: it is never answered, and its sender
-    /// gives it up after [`GIVEN_UP_MS`].
-    pub(crate) answer_ms: Option<u64>,
-    /// Time until a call reaches the platform, in milliseconds.
-    pub(crate) held_ms: u64,
-}
-
 /// The group, its single host, and the control leader's state machine.
 #[derive(Debug)]
 pub(crate) struct Site {
@@ -298,16 +271,7 @@
     /// not reached the platform, and passes them on when the cut ends.
     pub(crate) fn cut_leader_off(&mut self, duration_ms: u64) {
         let until = self.now + duration_ms;
-        let (now, leadership) = (self.now, self.leadership);
-        for call in &mut self.calls {
-            if call.leadership == leadership
-                && let (Some(arrives_at), Some(effect_at)) = (call.arrives_at, call.effect_at)
-                && arrives_at > now
-            {
-                call.effect_at = Some(until + effect_at - arrives_at);
-                call.arrives_at = Some(until);
-            }
-        }
+        self.hold_calls(until);
         self.silent_until.insert(self.leader(), until);
         self.change_leader();
     }
@@ -456,96 +420,4 @@
         }
         target.row()
     }
-
-    fn ask_for_promotion(&mut self, member: &Name, number: u64, lost: bool) {
-        let now = self.now;
-        if lost {
-            let reply = PromotionReply::NotSent;
-            self.succession.record_promotion(now, number, reply);
-        } else if let Some(platform) = self.platform {
-            self.calls.push(Call {
-                member: member.clone(),
-                number,
-                leadership: self.leadership,
-                arrives_at: Some(now + platform.held_ms),
-                effect_at: Some(now + platform.held_ms + platform.effect_ms),
-                answer_at: Some(now + platform.answer_ms.unwrap_or(GIVEN_UP_MS)),
-                is_answered: platform.answer_ms.is_some(),
-            });
-        } else {
-            self.receive_call(self.leadership);
-            let reply = self.promote(member);
-            self.succession.record_promotion(now, number, reply);
-        }
-    }
-
-    /// The platform receives a call with this fencing token.
-    fn receive_call(&mut self, token: u64) {
-        if token < self.newest_token {
-            self.late_tokens.push((token, self.newest_token));
-        }
-        self.newest_token = token.max(self.newest_token);
-    }
-
-    /// Carries out and answers the promotion calls that are due.
-    fn run_platform(&mut self) {
-        let now = self.now;
-        let is_due = |at: Option<u64>| at.is_some_and(|at| at <= now);
-        for mut call in std::mem::take(&mut self.calls) {
-            if is_due(call.arrives_at) {
-                call.arrives_at = None;
-                self.receive_call(call.leadership);
-            }
-            if is_due(call.effect_at) {
-                call.effect_at = None;
-                self.promote(&call.member);
-            }
-            if is_due(call.answer_at) {
-                call.answer_at = None;
-                let reply = match self.members[&call.member].down {
-                    _ if !call.is_answered => PromotionReply::Unknown,
-                    true => PromotionReply::NotRunning,
-                    false => PromotionReply::Accepted,
-                };
-                if call.leadership == self.leadership {
-                    self.succession.record_promotion(now, call.number, reply);
-                }
-            }
-            if call.effect_at.is_some() || call.answer_at.is_some() {
-                self.calls.push(call);
-            }
-        }
-    }
-
-    /// Promotes a member, unless it leads the newest term. No acknowledged commit may be missing in
-    /// its log.
-    fn promote(&mut self, member: &Name) -> PromotionReply {
-        if self.members[member].down {
-            return PromotionReply::NotRunning;
-        }
-        let newest = self.members.values().map(|member| member.term).max();
-        let current = &self.members[member];
-        if current.primary && Some(current.term) == newest {
-            return PromotionReply::Accepted;
-        }
-        let log = &self.members[member].log;
-        for commit in &self.acknowledged {
-            assert!(
-                log.contains(commit),
-                "{member} is promoted without {commit:?}"
-            );
-        }
-        let highest = self
-            .members
-            .values()
-            .map(|member| member.term)
-            .max()
-            .unwrap_or(0);
-        let target = self.member(member);
-        target.primary = true;
-        target.term = highest + 1;
-        target.paused_for = 0;
-        self.promoted.push(member.clone());
-        PromotionReply::Accepted
-    }
 }
