Soak: cuts of the control leader while the primary changes

The primary crashes, or its zone is evacuated, right before; the next primary crashes in the cut, and may receive nothing around the end. The leader runs, stands still or is killed. New connections are opened and held, or not opened at all until the end of the cut (a full queue of the listener).

The proxies of the members notice a reset while they hold bytes, which are lost then.

--- a/crates/hemlockcrank/tests/soak/calls.rs
+++ b/crates/hemlockcrank/tests/soak/calls.rs
@@ -5,15 +5,14 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    fault::Sender,
     history::History,
     site::{MEMBER_NAMES, Site},
-    start_callers,
+    start_callers, wait_until,
 };
 
 /// Longest wait for a call of the leader after the primary has crashed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// Interval between two checks of a condition.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which the leader is cut off from the other hosts, or stands still.
 const CUT_DURATION: Duration = Duration::from_secs(10);
 /// Longest time for which its call is held. A successor that waits for it may take as long.
@@ -25,31 +24,6 @@
 /// Number of the fixture's first addresses; no seed of the soak is as high.
 const SITE_NUMBER: u64 = 211;
 
-/// What happens to the leader whose call is held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sender {
-    /// It is cut off, and runs.
-    CutOff,
-    /// It is cut off, and stands still.
-    Frozen,
-    /// It is killed, which closes its connections without a reset.
-    Killed,
-}
-
-/// Waits until a condition holds; returns whether it did in time.
-async fn wait_until<F>(deadline: Instant, condition: F) -> bool
-where
-    F: Fn() -> bool,
-{
-    while !condition() {
-        if Instant::now() >= deadline {
-            return false;
-        }
-        sleep(CHECK_INTERVAL).await;
-    }
-    true
-}
-
 /// Holds a call of the leader, which is cut off, until its successor has changed the primary twice or
 /// [`MAX_HOLD`] has passed, and returns the violated guarantees.
 async fn hold_call(sender: Sender) -> Vec<String> {
@@ -70,13 +44,9 @@
         wait_until(deadline, || link.held_bytes() > 0).await,
         "{sender:?}: the leader makes a call"
     );
-    site.cut(leader);
+    site.cut(leader, false).await;
     let cut_at = Instant::now();
-    match sender {
-        Sender::CutOff => {}
-        Sender::Frozen => site.signal_control(leader, "-STOP"),
-        Sender::Killed => site.controls[leader].kill(),
-    }
+    site.strike(leader, sender);
 
     // Its successor replaces the primary, and then the new one, which is the one that the call names.
     let released_by = cut_at + MAX_HOLD;
--- a/crates/hemlockcrank/tests/soak/fault.rs
+++ b/crates/hemlockcrank/tests/soak/fault.rs
@@ -102,3 +102,64 @@
         }
     }
 }
+
+/// What happens to a control leader that is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// It runs.
+    CutOff,
+    /// It stands still.
+    Frozen,
+    /// It is killed, which closes its connections without a reset.
+    Killed,
+}
+
+/// Why the primary changes when the leader is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// It crashes.
+    Crash,
+    /// Its zone is evacuated.
+    Evacuation,
+}
+
+/// A cut of the control leader while the primary changes. Durations are in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Cut {
+    pub(crate) cause: Cause,
+    /// Time from the cause to the start of the cut; `None` if the cut starts with the leader's call to
+    /// the platform, which it holds.
+    pub(crate) delay_ms: Option<u64>,
+    /// Whether new connections are not opened, or else opened and their bytes held.
+    pub(crate) closes: bool,
+    pub(crate) sender: Sender,
+    pub(crate) duration_ms: u64,
+    /// Time from the start of the cut until the new primary crashes too.
+    pub(crate) second_crash_ms: u64,
+    /// Whether that member receives nothing around the end of the cut.
+    pub(crate) lags: bool,
+    /// Whether a leader that stands still goes on before the held bytes arrive, or else afterwards.
+    pub(crate) resumes_first: bool,
+}
+
+impl Cut {
+    /// Draws a random cut.
+    pub(crate) fn draw(random: &mut ChaCha8Rng) -> Self {
+        let mut below = |count: u64| random.next_u64() % count;
+        Self {
+            cause: [Cause::Crash, Cause::Crash, Cause::Evacuation][below(3) as usize],
+            delay_ms: [None, None, Some(below(1_500))][below(3) as usize],
+            closes: below(2) == 0,
+            sender: [
+                Sender::CutOff,
+                Sender::CutOff,
+                Sender::Frozen,
+                Sender::Killed,
+            ][below(4) as usize],
+            duration_ms: 8_000 + below(8_000),
+            second_crash_ms: 3_500 + below(3_000),
+            lags: below(2) == 0,
+            resumes_first: below(2) == 0,
+        }
+    }
+}
--- a/crates/hemlockcrank/tests/soak/inject.rs
+++ b/crates/hemlockcrank/tests/soak/inject.rs
@@ -107,29 +107,3 @@
         }
     }
 }
-
-/// Cuts of a control host.
-impl Site {
-    /// Cuts a control host off from the other hosts, the members and the platform.
-    pub(crate) fn cut(&self, control: usize) {
-        let host = &self.controls[control];
-        self.links.cut(&host.ip);
-        for proxy in &self.proxies {
-            proxy.partition([host.address()]);
-        }
-    }
-
-    /// Ends the cut of a control host.
-    pub(crate) fn restore(&self, control: usize) {
-        let host = &self.controls[control];
-        self.links.restore(&host.ip);
-        for proxy in &self.proxies {
-            proxy.reconnect(host.address());
-        }
-    }
-
-    /// Starts a control host that has been killed.
-    pub(crate) fn start_control(&mut self, control: usize) {
-        self.controls[control].start(&self.folder);
-    }
-}
--- a/crates/hemlockcrank/tests/soak/links.rs
+++ b/crates/hemlockcrank/tests/soak/links.rs
@@ -67,9 +67,13 @@
         &found.expect("a control host").1
     }
 
-    /// Holds everything that a control host and the other hosts or the platform send each other.
-    pub(crate) fn cut(&self, host: &str) {
+    /// Holds everything that a control host and the other hosts or the platform send each other. If
+    /// the links are closed, they open no new connections.
+    pub(crate) async fn cut(&self, host: &str, closes: bool) {
         self.all_of(host).for_each(Link::hold);
+        for link in self.all_of(host).filter(|_| closes) {
+            link.hold_and_close().await;
+        }
     }
 
     /// Passes on what is held, as far as its sender has not reset its connection.
--- a/crates/hemlockcrank/tests/soak/proxy.rs
+++ b/crates/hemlockcrank/tests/soak/proxy.rs
@@ -1,14 +1,16 @@
-//! A TCP proxy in front of one member, which can block, stall and reset connections.
+//! A TCP proxy in front of one member, which can block, stall and reset connections. Bytes that it
+//! holds are lost if their sender resets the connection meanwhile.
 
 use std::{
     collections::BTreeSet,
+    io,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::{
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -101,34 +103,40 @@
             *opened += 1;
             *opened - 1
         };
-        self.wait_unblocked(host, number).await;
+        let (client_read, client_write) = client.into_split();
+        let mut from_client = Held::new(client_read);
+        let unblocked = self.wait_unblocked(host, number);
+        if from_client.keep_until(unblocked).await.is_err() {
+            return;
+        }
         let Ok(member) = TcpStream::connect(target).await else {
             return;
         };
-        let (client_read, client_write) = client.into_split();
         let (member_read, member_write) = member.into_split();
+        let from_member = Held::new(member_read);
         let mut disruption = self.0.disruption.subscribe();
         tokio::select! {
-            () = self.copy(number, host, client_read, member_write) => {}
-            () = self.copy(number, host, member_read, client_write) => {}
+            () = self.copy(number, host, from_client, member_write) => {}
+            () = self.copy(number, host, from_member, client_write) => {}
             _ = disruption.wait_for(|disruption| number < disruption.closed_below) => {}
         }
     }
 
-    async fn copy(
-        &self,
-        number: u64,
-        host: IpAddr,
-        mut from: OwnedReadHalf,
-        mut to: OwnedWriteHalf,
-    ) {
-        let mut bytes = vec![0; 16 * 1024];
+    /// Passes on what one end sends until it closes or resets the connection. What is held at the
+    /// moment of a reset is lost.
+    async fn copy(&self, number: u64, host: IpAddr, mut from: Held, mut to: OwnedWriteHalf) {
         loop {
-            let read = from.read(&mut bytes).await.unwrap_or(0);
-            self.wait_unblocked(host, number).await;
-            if read == 0 || to.write_all(&bytes[..read]).await.is_err() {
+            if !from.has_ended && from.read().await.is_err() {
+                return;
+            }
+            let unblocked = self.wait_unblocked(host, number);
+            if from.keep_until(unblocked).await.is_err()
+                || to.write_all(&from.bytes).await.is_err()
+                || from.has_ended
+            {
                 return;
             }
+            from.bytes.clear();
         }
     }
 
@@ -143,3 +151,46 @@
         }
     }
 }
+
+/// What one end has sent and the proxy has not passed on.
+struct Held {
+    from: OwnedReadHalf,
+    bytes: Vec<u8>,
+    /// Whether the end has closed the connection.
+    has_ended: bool,
+}
+
+impl Held {
+    fn new(from: OwnedReadHalf) -> Self {
+        Self {
+            from,
+            bytes: Vec::new(),
+            has_ended: false,
+        }
+    }
+
+    /// Waits for more bytes, the end of the stream, or, after that, a reset, which is an error.
+    async fn read(&mut self) -> io::Result<()> {
+        if self.has_ended {
+            self.from.ready(Interest::ERROR).await?;
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        self.has_ended = self.from.read_buf(&mut self.bytes).await? == 0;
+        Ok(())
+    }
+
+    /// Keeps what arrives until `unblocked`.
+    async fn keep_until<F>(&mut self, unblocked: F) -> io::Result<()>
+    where
+        F: Future<Output = ()>,
+    {
+        tokio::pin!(unblocked);
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut unblocked => return Ok(()),
+                read = self.read() => read?,
+            }
+        }
+    }
+}
--- a/crates/hemlockcrank/tests/soak/site.rs
+++ b/crates/hemlockcrank/tests/soak/site.rs
@@ -44,6 +44,8 @@
     pub(crate) proxies: Vec<Proxy>,
     pub(crate) links: Links,
     pub(crate) promotions: Promotions,
+    /// Zones of the members.
+    zones: [&'static str; MEMBERS],
     /// HTTP addresses of the control hosts.
     pub(crate) control_addresses: Vec<SocketAddr>,
     pub(crate) folder: PathBuf,
@@ -67,6 +69,11 @@
 impl Site {
     /// Starts all processes and waits until every entry host serves a read.
     pub(crate) async fn start(seed: u64) -> Self {
+        Self::start_in(seed, ["z"; MEMBERS]).await
+    }
+
+    /// As [`Self::start`], with the members in these zones.
+    pub(crate) async fn start_in(seed: u64, zones: [&'static str; MEMBERS]) -> Self {
         let subnet = (u64::from(std::process::id()) + seed) % 250;
         let ips = |first: usize, count: usize| {
             let ip = move |host: usize| format!("127.11.{subnet}.{}", first + host);
@@ -131,6 +138,7 @@
             callers,
             proxies,
             promotions,
+            zones,
             control_addresses,
             links,
             folder,
@@ -159,13 +167,15 @@
     fn send_heartbeats(&self, members: Vec<(String, SocketAddr)>) {
         for (name, address) in members {
             let (group, control_addresses) = (self.group.clone(), self.control_addresses.clone());
-            let client = client();
+            let (client, zone) = (client(), self.zone_of(&name));
             tokio::spawn(async move {
                 let mut first = 0;
                 for seq in 1.. {
                     let (down, primary) =
                         group.with_member(&name, |member| (member.down, member.primary));
-                    let body = operator::heartbeat(address, primary, seq).to_string();
+                    let mut body = operator::heartbeat(address, primary, seq);
+                    body["zone"] = zone.into();
+                    let body = body.to_string();
                     for attempt in 0..control_addresses.len() * usize::from(!down) {
                         let host = (first + attempt) % control_addresses.len();
                         let url = format!("http://{}/instances/{name}", control_addresses[host]);
@@ -181,6 +191,12 @@
         }
     }
 
+    /// Zone of a member.
+    pub(crate) fn zone_of(&self, member: &str) -> &'static str {
+        let index = MEMBER_NAMES.iter().position(|name| *name == member);
+        self.zones[index.expect("a member")]
+    }
+
     /// Sends a configuration to one control host after the other until one acknowledges it.
     pub(crate) async fn submit(&self, body: &Value) -> bool {
         let client = client();
--- a/crates/hemlockcrank_wire/tests/late_calls.rs
+++ b/crates/hemlockcrank_wire/tests/late_calls.rs
@@ -1,6 +1,7 @@
 //! Calls between hosts that a link holds: one that was given up does not arrive when it is released.
 
 #[path = "../../../platform/tests/fixture/link.rs"]
+#[expect(dead_code, reason = "the tests of the platform use the rest")]
 mod link;
 
 use std::{
