Engine: executions, choice of a member and receipts in files of their own

No change of behaviour; clippy and the tests of core::sharing pass.

core::sharing: which hosts of a zone run the operations of the others, with tests without a network.

--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -18,6 +18,7 @@
 //!   whole and whose databases manage their own replication.
 //! - [`arrival`]: orders that have no number of their own.
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
+//! - [`sharing`]: connections that the hosts of an availability zone share.
 //! - [`statement`]: classifies a statement by its text.
 //!
 //! ```
@@ -52,6 +53,7 @@
 pub mod route;
 pub mod session;
 pub mod share;
+pub mod sharing;
 pub mod state;
 pub mod statement;
 pub mod succession;
--- a/crates/hemlockcrank_core/src/membership.rs
+++ b/crates/hemlockcrank_core/src/membership.rs
@@ -184,6 +184,13 @@
         best.map(|hashed| &hashed.host.name)
     }
 
+    /// Rank of a host for `key` in rendezvous hashing; 0 for a host that is not live.
+    pub(crate) fn score(&self, host: &str, key: &str) -> u64 {
+        self.hosts
+            .get(host)
+            .map_or(0, |hashed| score(hash(key), hashed))
+    }
+
     /// Selects up to `count` hosts for `key`, in different availability zones where there are
     /// enough.
     pub fn select_across_zones(&self, key: &str, count: usize) -> Vec<Name> {
@@ -229,6 +236,11 @@
     u64::from_le_bytes(head)
 }
 
+/// Number below `count` that a key is hashed to.
+pub(crate) fn bucket(key: &str, count: usize) -> usize {
+    usize::try_from(hash(key) % count.max(1) as u64).unwrap_or(0)
+}
+
 /// Score of a host for a key: both hashes mixed by the finalizer of SplitMix64.
 fn score(key: u64, hashed: &HashedHost) -> u64 {
     let mut mixed = key ^ hashed.hash.rotate_left(32);
--- a/crates/hemlockcrank_host/src/engine.rs
+++ b/crates/hemlockcrank_host/src/engine.rs
@@ -7,12 +7,15 @@
 //! - `session`: one caller's session, statement by statement.
 //! - `transaction`: a session's open transaction.
 //! - `read`, `write`: one statement outside a transaction.
+//! - `execution`: a statement to run, with its session's state; `choice`: the member that runs it.
 //! - `pool`: connections to one member; `member_connection`: one connection.
 //! - [`Primaries`]: what this host has observed of primaries; shared with the control thread.
 //! - `witness`: members that must receive a commit before it is acknowledged.
 //! - `admission`: checks of lease, key and rate.
 
 mod admission;
+mod choice;
+mod execution;
 mod member_connection;
 mod order;
 mod pool;
@@ -20,6 +23,7 @@
 mod protocol;
 mod proxy;
 mod read;
+mod receipt;
 mod serve;
 mod session;
 mod transaction;
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -24,7 +24,7 @@
 use super::{
     Code, Protocol,
     member_connection::{MemberConnection, OpenError, Purpose, SessionValues, Target},
-    witness::Receipt,
+    receipt::Receipt,
 };
 use crate::{clock::now_ms, sync::lock};
 
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -16,8 +16,8 @@
 use super::{
     CallerMessage, Code, PreparedStatement, Proxy, Reply, Statement, Status,
     admission::{Operation, Refusal},
+    execution::{Body, Execution},
     member_connection::SessionValues,
-    read::{Body, Execution},
     transaction::{Step, Transaction, ZONE_OUT},
 };
 use crate::{
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -9,10 +9,11 @@
 use super::{
     Code, Proxy, ProxyStatement, Status,
     admission::{Operation, Refusal, Trail},
+    choice::Choice,
+    execution::{Execution, lagging},
     member_connection::Answer,
     pool::{InFlight, PooledConnection},
     primaries::Guard,
-    read::{Choice, Execution, lagging},
 };
 use crate::clock::now_ms;
 
--- a/crates/hemlockcrank_host/src/engine/witness.rs
+++ b/crates/hemlockcrank_host/src/engine/witness.rs
@@ -7,30 +7,20 @@
 use std::{sync::Arc, time::Duration};
 
 use hemlockcrank_core::{session::Position, succession::OrderReply};
-use tokio::{
-    sync::Mutex,
-    time::{Instant, sleep_until, timeout},
-};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::{
     Proxy, ProxyStatement,
+    execution::{Execution, position_text},
     order::read_reply,
     pool::Pool,
     primaries::Guard,
-    read::{Execution, position_text},
 };
 use crate::{clock::now_ms, event::Event};
 
 /// Shortest pause between two questions to a witness.
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
-/// When a member was last asked what it has received, and its answer. Commits that wait at the same
-/// time share the questions.
-#[derive(Debug, Default)]
-pub(super) struct Receipt {
-    latest: Mutex<Option<(Instant, Option<Position>)>>,
-}
-
 /// Whether a member whose log ends at `received` holds `commit`; `None` if it may still receive it.
 /// A log that ends in a later term may lack commits of earlier ones, whatever its length.
 fn holds(received: Position, commit: Position) -> Option<bool> {
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -2,35 +2,22 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hemlockcrank_core::{Name, retry::Backoff};
+use hemlockcrank_core::retry::Backoff;
 use tokio::time::sleep;
 
 use super::{
     Code, Proxy,
     admission::{Refusal, Trail},
+    choice::Choice,
+    execution::{AttemptError, Execution},
     member_connection::Answer,
-    read::{AttemptError, Choice, Execution, PRIMARY_RETRY_INTERVAL},
 };
-use crate::{clock::now_ms, control::HostState};
+use crate::clock::now_ms;
 
-impl Proxy {
-    /// Chooses the primary of a service, with a guard; `None` while it must not be used.
-    pub(crate) fn choose_primary(&self, host_state: &HostState, service: &Name) -> Option<Choice> {
-        let group = host_state.state.groups.get(service)?;
-        let lead = group.lead.as_ref()?;
-        let (name, member) = group.primary()?;
-        if !host_state.state.groups.accepts_work(member) {
-            return None;
-        }
-        let guard = self.primaries.issue_guard(service, lead.term)?;
-        Some(Choice {
-            name: name.clone(),
-            pool: self.pool(host_state, service, name, member),
-            after: None,
-            guard: Some(guard),
-        })
-    }
+/// Interval at which a write checks again for a primary while there is none.
+const PRIMARY_RETRY_INTERVAL: Duration = Duration::from_millis(15);
 
+impl Proxy {
     /// Runs a write. With a refusal it has not run, unless the code is [`Code::InDoubt`].
     pub(crate) async fn write(self: &Arc<Self>, execution: &Execution) -> Result<Answer, Refusal> {
         let service = &execution.operation.route.service;
