Sharing: operations run at an executor of the zone

Hosts of a zone that shares connections now send operations to the executor of their workspace, which runs them with its own checks, lease and pool (wire version 7: Execute, Executed, EndTransaction). What nobody runs for a host, it runs itself. Code, Status, PreparedStatement, Body and Step move to the wire crate, so that there is one copy of each.

A missing answer means: a read runs again, a write or a commit that wrote is unknown, a transaction is aborted (core::sharing::Sent). An executor that does not answer is avoided for a while (core::sharing::Executors).

--- a/crates/hemlockcrank_core/src/catalog.rs
+++ b/crates/hemlockcrank_core/src/catalog.rs
@@ -241,6 +241,11 @@
         self.services.get(name)
     }
 
+    /// All services, ordered by name.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Workspace that `key` authenticates.
     pub fn workspace_by_key(&self, key: &str) -> Option<&Name> {
         self.keys.get(key)
--- a/crates/hemlockcrank_core/src/sharing.rs
+++ b/crates/hemlockcrank_core/src/sharing.rs
@@ -7,6 +7,9 @@
 //! whose views differ for a moment may name different executors; then fewer connections are reused,
 //! and nothing else changes.
 //!
+//! [`Executors`] is what one host observes of them: those that do not answer are avoided for a while.
+//! [`Sent`] says what a missing answer means for the caller.
+//!
 //! A host is executor of a second service only if all hosts of the zone are executors, because entry
 //! hosts are small.
 //!
@@ -24,6 +27,9 @@
 //! );
 //! ```
 
+mod health;
+mod loss;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
@@ -35,6 +41,9 @@
     membership::{Host, View, bucket},
 };
 
+pub use health::Executors;
+pub use loss::{Loss, Sent};
+
 /// Entry hosts of a zone from which on they share connections. With fewer, an executor would replace
 /// few pools.
 const MIN_HOSTS: usize = 4;
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -382,7 +382,9 @@
             Request::Borrow { .. }
             | Request::Portions { .. }
             | Request::HandOver { .. }
-            | Request::Events => {
+            | Request::Events
+            | Request::Execute(_)
+            | Request::EndTransaction(_) => {
                 reply(port, Response::Unavailable);
             }
         }
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -171,6 +171,7 @@
                 let dependencies = Dependencies {
                     settings: Arc::clone(&settings),
                     control: control.clone(),
+                    peers: Arc::clone(&peers),
                     limits: Arc::clone(&limits),
                     portions: Arc::clone(&portions),
                     primaries,
@@ -209,6 +210,7 @@
         match (proxy, caller_listener) {
             (Some(proxy), Some(listener)) => {
                 tasks.spawn("primaries", Arc::clone(&proxy).run());
+                tasks.spawn("executor", Arc::clone(&proxy).expire_transactions());
                 tasks.spawn("callers", engine::serve(proxy, listener));
             }
             (None, Some(listener)) => {
@@ -332,10 +334,9 @@
 }
 
 fn open_sessions(context: &Context) -> usize {
-    let site_sessions = context
-        .proxy
-        .as_ref()
-        .map_or(0, |proxy| proxy.sessions.load(Ordering::Relaxed));
+    let site_sessions = context.proxy.as_ref().map_or(0, |proxy| {
+        proxy.sessions.load(Ordering::Relaxed) + proxy.executor.open()
+    });
     site_sessions + context.sessions.load(Ordering::Relaxed)
 }
 
@@ -384,6 +385,16 @@
         Request::HandOver { workspace, index } => {
             Response::HandOver(context.limits.hand_over(&workspace, index).await)
         }
+        Request::Execute(request) => match &context.proxy {
+            Some(proxy) => Response::Executed(Box::new(proxy.execute(*request).await)),
+            None => Response::Unavailable,
+        },
+        Request::EndTransaction(transaction) => {
+            if let Some(proxy) = &context.proxy {
+                proxy.executor.end(transaction);
+            }
+            Response::Received
+        }
         Request::Events => Response::Events(context.timeline.records()),
         other => context.control.answer(other).await,
     }
--- a/crates/hemlockcrank_host/src/engine.rs
+++ b/crates/hemlockcrank_host/src/engine.rs
@@ -11,11 +11,16 @@
 //! - `pool`: connections to one member; `member_connection`: one connection.
 //! - [`Primaries`]: what this host has observed of primaries; shared with the control thread.
 //! - `witness`: members that must receive a commit before it is acknowledged.
+//! - `sharing`: services whose connections the hosts of a zone share, and who has them.
+//! - `forward`: operations that another host of the zone runs for this one; `executor`: those that
+//!   this host runs for others.
 //! - `admission`: checks of lease, key and rate.
 
 mod admission;
 mod choice;
 mod execution;
+mod executor;
+mod forward;
 mod member_connection;
 mod order;
 mod pool;
@@ -26,6 +31,7 @@
 mod receipt;
 mod serve;
 mod session;
+mod sharing;
 mod transaction;
 mod witness;
 mod write;
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -1,6 +1,6 @@
 //! Checks whether an operation may run: authority (lease), route, key and rate.
 
-use std::sync::Arc;
+use std::{borrow::Cow, sync::Arc};
 
 use hemlockcrank_core::{Name, catalog::Route};
 
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
     pub(crate) code: Code,
-    pub(crate) reason: &'static str,
+    pub(crate) reason: Cow<'static, str>,
     /// Members that were tried, each with the outcome.
     pub(crate) trail: Trail,
 }
@@ -38,6 +38,14 @@
         self.0.push('=');
         self.0.push_str(outcome);
     }
+
+    /// Appends the trail of another host.
+    pub(crate) fn append(&mut self, trail: &str) {
+        if !self.0.is_empty() {
+            self.0.push(' ');
+        }
+        self.0.push_str(trail);
+    }
 }
 
 impl std::fmt::Display for Trail {
@@ -51,7 +59,16 @@
         let trail = Trail(String::new());
         Self {
             code,
-            reason,
+            reason: Cow::Borrowed(reason),
+            trail,
+        }
+    }
+
+    /// A refusal by another host.
+    pub(crate) fn received(code: Code, reason: String, trail: Trail) -> Self {
+        Self {
+            code,
+            reason: Cow::Owned(reason),
             trail,
         }
     }
--- a/crates/hemlockcrank_host/src/engine/execution.rs
+++ b/crates/hemlockcrank_host/src/engine/execution.rs
@@ -5,8 +5,10 @@
 use hemlockcrank_core::{Name, session::Position};
 use tokio::time::timeout;
 
+pub(crate) use hemlockcrank_wire::Body;
+
 use super::{
-    PreparedStatement, ProxyStatement, Query,
+    ProxyStatement, Query,
     admission::{Operation, Refusal},
     member_connection::{Answer, MemberConnection, SessionValues},
     pool::{ConnectionRequest, PooledConnection},
@@ -16,18 +18,6 @@
 /// Longest wait for a connection to one member.
 const ACQUIRE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// What to send to the member.
-#[derive(Clone, Debug)]
-pub(crate) enum Body {
-    /// This text.
-    Text(Name),
-    /// The execution of a prepared statement, whose name differs between connections.
-    Prepared {
-        statement: PreparedStatement,
-        arguments: Name,
-    },
-}
-
 /// A statement to run, with its operation and session state.
 #[derive(Clone, Debug)]
 pub(crate) struct Execution {
--- a/crates/hemlockcrank_host/src/engine/protocol.rs
+++ b/crates/hemlockcrank_host/src/engine/protocol.rs
@@ -3,72 +3,15 @@
 
 use bytes::{Bytes, BytesMut};
 use hemlockcrank_core::{Name, session::Position, succession::Row};
-use strum::{Display, IntoStaticStr};
 use thiserror::Error;
 
+pub use hemlockcrank_wire::{Code, PreparedStatement, Status};
+
 /// The bytes are not a message of the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("not a message of the protocol")]
 pub struct Malformed;
 
-/// Why a statement has no result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum Code {
-    /// Not run: no free slot, no authority (lease) or no primary in time.
-    Busy,
-    /// Not run or rolled back: the operation has no effect.
-    Aborted,
-    /// Not run: the member's log has not reached the required position.
-    Lagging,
-    /// Not run: the member does not accept writes.
-    ReadOnly,
-    /// Not run: the address belongs to another member than expected.
-    Misrouted,
-    /// Not run: too many connections, or the workspace is over its rate.
-    TooMany,
-    /// Not run: no prepared statement has this name.
-    NoStatement,
-    /// Ran and failed.
-    Failed,
-    /// Exceeded the time limit.
-    TimedOut,
-    /// The outcome of a write is unknown.
-    InDoubt,
-    /// The key belongs to no workspace.
-    NoKey,
-    /// No route has the name.
-    NoDatabase,
-    /// The statement is malformed, or not allowed in the current state of the session.
-    Malformed,
-    /// Any other code of a member.
-    Other,
-}
-
-impl Code {
-    /// Whether a member that answers with this code has certainly not run the statement.
-    pub fn is_not_run(self) -> bool {
-        matches!(
-            self,
-            Self::Busy
-                | Self::Lagging
-                | Self::ReadOnly
-                | Self::Misrouted
-                | Self::TooMany
-                | Self::NoStatement
-        )
-    }
-}
-
-/// Content of a prepared statement, without its name.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct PreparedStatement {
-    /// Whether it writes.
-    pub writes: bool,
-    /// Text.
-    pub text: Name,
-}
-
 /// A statement as a caller sent it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Statement {
@@ -136,17 +79,6 @@
     Bye,
 }
 
-/// Transaction status of a session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Status {
-    /// Outside a transaction.
-    Idle,
-    /// In a transaction.
-    Open,
-    /// In a transaction that failed.
-    Failed,
-}
-
 /// A message from a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MemberMessage {
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -10,18 +10,21 @@
 
 use hemlockcrank_core::{
     Name,
-    connections::{Capacity, Fleet},
     group::{Change, Member},
 };
 use tokio::{sync::watch, time::sleep};
 
-use super::{Primaries, Protocol, member_connection::Target, pool::Pool};
+use super::{
+    Primaries, Protocol, executor::Executor, forward::Forwarding, member_connection::Target,
+    pool::Pool, sharing::Sharing,
+};
 use crate::{
     clock::now_ms,
     control::{Control, HostState},
     event::{Event, Timeline},
     limits::{Limits, Portions},
     metrics::Metrics,
+    peers::Peers,
     phase::Phase,
     settings::Settings,
     sync::lock,
@@ -50,6 +53,7 @@
 pub(crate) struct Dependencies {
     pub(crate) settings: Arc<Settings>,
     pub(crate) control: Control,
+    pub(crate) peers: Arc<Peers>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) portions: Arc<Portions>,
     pub(crate) primaries: Arc<Primaries>,
@@ -64,6 +68,7 @@
     pub(crate) protocol: Protocol,
     pub(crate) settings: Arc<Settings>,
     pub(crate) control: Control,
+    pub(crate) peers: Arc<Peers>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) portions: Arc<Portions>,
     pub(crate) primaries: Arc<Primaries>,
@@ -73,6 +78,11 @@
     pub(crate) sessions: AtomicUsize,
     /// Steps of a graceful shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
+    /// Operations that this host runs for others.
+    pub(crate) executor: Executor,
+    /// Operations that others run for this host.
+    pub(crate) forwarding: Forwarding,
+    pub(super) sharing: Mutex<Arc<Sharing>>,
     /// Connection pools by member.
     pools: Mutex<HashMap<Name, Arc<Pool>>>,
 }
@@ -83,6 +93,7 @@
             protocol,
             settings: dependencies.settings,
             control: dependencies.control,
+            peers: dependencies.peers,
             limits: dependencies.limits,
             portions: dependencies.portions,
             primaries: dependencies.primaries,
@@ -90,6 +101,9 @@
             metrics: dependencies.metrics,
             sessions: AtomicUsize::new(0),
             phase: dependencies.phase,
+            executor: Executor::default(),
+            forwarding: Forwarding::default(),
+            sharing: Mutex::default(),
             pools: Mutex::default(),
         })
     }
@@ -203,16 +217,6 @@
         });
     }
 
-    /// Connections that this host may have at each member of a service.
-    fn capacity(&self, host_state: &HostState, service: &Name) -> Capacity {
-        let settings = host_state.state.catalog.service(service);
-        let fleet = Fleet {
-            connections: settings.map_or(1, |settings| u64::from(settings.connections)),
-            hosts: host_state.serving_hosts,
-        };
-        Capacity::new(fleet, self.primaries.share(service))
-    }
-
     /// Releases primaries that are being replaced. Released ones stay in `pending` until their
     /// change has ended, so that none is released twice.
     fn release_primaries(&self, pending: &mut HashMap<Name, PendingChange>) {
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -17,8 +17,9 @@
     CallerMessage, Code, PreparedStatement, Proxy, Reply, Statement, Status,
     admission::{Operation, Refusal},
     execution::{Body, Execution},
+    forward::Transaction,
     member_connection::SessionValues,
-    transaction::{Step, Transaction, ZONE_OUT},
+    transaction::{Step, ZONE_OUT},
 };
 use crate::{
     clock::now_ms,
@@ -38,10 +39,10 @@
 const MAX_NAMES: usize = 256;
 
 /// Why a statement is refused, or a transaction rolled back, late in a graceful shutdown.
-const SHUTTING_DOWN: &str = "this host is shutting down";
+pub(super) const SHUTTING_DOWN: &str = "this host is shutting down";
 
 /// Why a transaction without a statement is rolled back.
-const IDLE_TOO_LONG: &str = "the transaction was idle for too long";
+pub(super) const IDLE_TOO_LONG: &str = "the transaction was idle for too long";
 
 /// Why a session ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -393,8 +394,8 @@
         let execution = self.execution(operation, id, body);
         let proxy = Arc::clone(&self.proxy);
         let outcome = match writes {
-            true => proxy.write(&execution).await,
-            false => proxy.read(execution).await,
+            true => proxy.forward_write(&execution).await,
+            false => proxy.forward_read(execution).await,
         };
         match outcome {
             Ok(answer) => {
--- a/crates/hemlockcrank_host/src/engine/session/output.rs
+++ b/crates/hemlockcrank_host/src/engine/session/output.rs
@@ -37,7 +37,7 @@
 
     pub(super) fn reply_refused(&mut self, id: &Name, refusal: &Refusal) {
         self.emit_refusal(id, refusal);
-        self.reply_failed(refusal.code, refusal.reason);
+        self.reply_failed(refusal.code, &refusal.reason);
     }
 
     pub(super) fn reply_answer(&mut self, answer: &Answer, status: Status) {
@@ -75,7 +75,7 @@
             ("lease_ms", &host_state.lease.remaining(now_ms())),
         ];
         self.proxy.timeline.emit(event, &fields);
-        self.proxy.metrics.count_refusal(refusal.reason);
+        self.proxy.metrics.count_refusal(refusal.reason.clone());
     }
 
     pub(super) async fn flush(&mut self) -> Result<(), End> {
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -6,6 +6,8 @@
 use hemlockcrank_core::{catalog::Freshness, retry::Backoff, session::Position};
 use tokio::time::{sleep, timeout};
 
+pub(crate) use hemlockcrank_wire::Step;
+
 use super::{
     Code, Proxy, ProxyStatement, Status,
     admission::{Operation, Refusal, Trail},
@@ -48,17 +50,6 @@
     pub(crate) failed: bool,
 }
 
-/// Kind of a statement in a transaction.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Step {
-    /// A read.
-    Read,
-    /// A write.
-    Write,
-    /// The commit.
-    Commit,
-}
-
 impl Transaction {
     /// Opens a transaction. Nothing is sent to a member before its first statement.
     pub(crate) fn new(operation: Operation, read_only: bool, watermark: Position) -> Self {
@@ -72,6 +63,11 @@
         }
     }
 
+    /// Whether it has begun at a member, and has not ended there.
+    pub(crate) fn is_pinned(&self) -> bool {
+        self.pinned.is_some()
+    }
+
     /// Whether a statement of it may have written.
     pub(crate) fn wrote(&self) -> bool {
         self.wrote
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -113,6 +113,12 @@
     ConnectionSilent = 420,
     /// A database connection was refused or failed.
     ConnectionFailed = 421,
+    /// An executor does not answer and is avoided for a while.
+    ExecutorAvoided = 430,
+    /// A statement that this host ran for another one was refused, or its outcome is unknown.
+    ForwardedRefused = 431,
+    /// A transaction that this host ran for another one was rolled back without a statement.
+    ForwardedRolledBack = 432,
     /// The settings file was read again.
     Reloaded = 103,
     /// A task of the daemon ended because of a bug.
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of `opentelemetry`, scraped over HTTP.
 
 use opentelemetry::{
-    KeyValue,
+    KeyValue, StringValue,
     metrics::{Counter, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -24,6 +24,11 @@
     unknown_outcomes: Counter<u64>,
     read_retries: Counter<u64>,
     waits: Histogram<f64>,
+    forwarded: Counter<u64>,
+    run_for_others: Counter<u64>,
+    declined: Counter<u64>,
+    run_directly: Counter<u64>,
+    lost: Counter<u64>,
 }
 
 impl Metrics {
@@ -47,6 +52,11 @@
             unknown_outcomes: meter.u64_counter("hemlockcrank_unknown_outcomes").build(),
             read_retries: meter.u64_counter("hemlockcrank_read_retries").build(),
             waits: meter.f64_histogram("hemlockcrank_wait_seconds").build(),
+            forwarded: meter.u64_counter("hemlockcrank_forwarded").build(),
+            run_for_others: meter.u64_counter("hemlockcrank_run_for_others").build(),
+            declined: meter.u64_counter("hemlockcrank_declined").build(),
+            run_directly: meter.u64_counter("hemlockcrank_run_directly").build(),
+            lost: meter.u64_counter("hemlockcrank_forwarded_lost").build(),
             registry,
             _provider: provider,
         })
@@ -64,7 +74,11 @@
     }
 
     /// Counts a refusal under its SQLSTATE or its reason.
-    pub fn count_refusal(&self, reason: &'static str) {
+    pub fn count_refusal<R>(&self, reason: R)
+    where
+        R: Into<StringValue>,
+    {
+        let reason = reason.into();
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
@@ -78,6 +92,31 @@
         self.read_retries.add(1, &[]);
     }
 
+    /// Counts a statement that was sent to an executor.
+    pub fn count_forwarded(&self) {
+        self.forwarded.add(1, &[]);
+    }
+
+    /// Counts a statement that this host runs for another one.
+    pub fn count_run_for_others(&self) {
+        self.run_for_others.add(1, &[]);
+    }
+
+    /// Counts a statement that this host does not run for another one.
+    pub fn count_declined(&self, reason: &'static str) {
+        self.declined.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts an operation on a shared service that this host runs itself because no executor does.
+    pub fn count_run_directly(&self) {
+        self.run_directly.add(1, &[]);
+    }
+
+    /// Counts a statement that an executor did not answer.
+    pub fn count_lost(&self) {
+        self.lost.add(1, &[]);
+    }
+
     /// Records the wait of a statement for tokens and a connection.
     pub fn record_wait(&self, seconds: f64) {
         self.waits.record(seconds, &[]);
--- a/crates/hemlockcrank_host/src/peers.rs
+++ b/crates/hemlockcrank_host/src/peers.rs
@@ -71,6 +71,26 @@
         Ok(frame.body)
     }
 
+    /// The same with a limit of its own on the wait for the connection.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Peers::call`].
+    pub(crate) async fn call_within(
+        &self,
+        peer: SocketAddr,
+        request: &Request,
+        open_limit: Duration,
+        timeout: Duration,
+    ) -> Result<Response, CallError> {
+        let stamp = self.timeline.stamp();
+        let client = self.client(peer);
+        let frame = client.call_within(stamp, request, open_limit, timeout);
+        let frame = frame.await?;
+        self.timeline.observe(frame.stamp);
+        Ok(frame.body)
+    }
+
     fn client(&self, peer: SocketAddr) -> Arc<Client> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         let new_client = || Arc::new(Client::new(peer, self.proof.clone()));
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -17,6 +17,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::{Execute, Executed, TransactionId};
+
 /// A message body with the sender's clock.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Frame<T> {
@@ -82,6 +84,10 @@
         /// Term of the primary that the order is about; in another term it is out of date.
         term: u64,
     },
+    /// Asks a host of the sender's availability zone to run a statement.
+    Execute(Box<Execute>),
+    /// Asks the executor of a transaction to roll it back.
+    EndTransaction(TransactionId),
 }
 
 /// Progress of one live host, as reported to the leader.
@@ -264,6 +270,8 @@
     ReadIndex(Option<u64>),
     /// Answer to [`Request::Events`].
     Events(Vec<EventRecord>),
+    /// Answer to [`Request::Execute`].
+    Executed(Box<Executed>),
     /// The receiver is stopping or cannot answer now; the request had no effect.
     Unavailable,
     /// The order starts from another state than the current one; it had no effect.
--- a/crates/hemlockcrank_wire/src/client.rs
+++ b/crates/hemlockcrank_wire/src/client.rs
@@ -97,13 +97,30 @@
         stamp: Stamp,
         request: &Request,
         time_limit: Duration,
+    ) -> Result<Frame<Response>, CallError> {
+        self.call_within(stamp, request, CONNECT_TIMEOUT * 2, time_limit)
+            .await
+    }
+
+    /// Makes one call; `open_limit` is the longest wait for the connection.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::call`].
+    pub async fn call_within(
+        &self,
+        stamp: Stamp,
+        request: &Request,
+        open_limit: Duration,
+        time_limit: Duration,
     ) -> Result<Frame<Response>, CallError> {
         let peer = self.peer;
         let body = encode(&Frame {
             stamp,
             body: request,
         })?;
-        let sender = self.ready_sender().await?;
+        let sender = timeout(open_limit, self.ready_sender()).await;
+        let sender = sender.map_err(|_| CallError::Unreached { peer })??;
         let answer = match timeout(time_limit, self.send(sender, body)).await {
             Ok(Ok(stream)) => self.receive(stream).await,
             Ok(Err(error)) => Err(error),
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`Request`] and [`Response`]: the messages of a call.
 //! - [`Client`]: a connection to one peer, reopened when it breaks.
+//! - [`Execute`] and [`Executed`]: an operation that one host runs for another.
 //! - [`serve`]: accepts connections and answers calls.
 //!
 //! A call has the protocol [`VERSION`] and a proof that the client knows the site's peer secret. A
@@ -14,6 +15,7 @@
 mod call;
 mod client;
 mod codec;
+mod execution;
 mod server;
 
 pub use call::{
@@ -22,10 +24,14 @@
 };
 pub use client::{CallError, Client};
 pub use codec::{CodecError, decode, decode_state, encode};
+pub use execution::{
+    Answer, Body, Code, Decline, Execute, Executed, Kind, PreparedStatement, Refusal, Status, Step,
+    TransactionId,
+};
 pub use server::{Incoming, serve};
 
 /// Version of the protocol between hosts.
-pub const VERSION: u32 = 6;
+pub const VERSION: u32 = 7;
 /// Maximum size of a request or response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
