Core: dispatcher of statements before a full member

Executors run the operations of a whole zone, and nothing limited the statements in progress at a member, so its slots and queue filled with work of every kind and the most urgent was served worse than the least urgent. The dispatcher orders what waits by class and workspace, refuses what cannot start in time on arrival, and adapts the limit to busy answers and outages.

Strict priority was ruled out (it starves the others), and so were limits by latency (the mix of statements changes the latency more than the load does).

--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -18,6 +18,7 @@
 //!   whole and whose databases manage their own replication.
 //! - [`arrival`]: orders that have no number of their own.
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
+//! - [`dispatch`]: which statements run at a member, wait, or are refused.
 //! - [`sharing`]: connections that the hosts of an availability zone share.
 //! - [`statement`]: classifies a statement by its text.
 //!
@@ -36,6 +37,7 @@
 pub mod connections;
 pub mod consensus;
 pub mod directory;
+pub mod dispatch;
 pub mod failover;
 pub mod floor;
 pub mod group;
