Engine: permits for statements at a member, refusals that say when to retry

A statement takes a permit of the member's dispatcher before a connection and releases it with its outcome; a transaction holds one only while a statement runs. The limit is set where this host is an executor of the service on a site that shares connections. Elsewhere a permit is granted at once. A refusal names the time to retry in its text, and event 410 has it with the inputs of the decision. A session with a permit waits 12 ms instead of 40 ms for a connection of its own workspace, because the permit is of no use to others meanwhile; the waits without a limit are as before. A read is sent to a second member only after the expected wait for its permit.

--- a/crates/hemlockcrank_host/src/engine.rs
+++ b/crates/hemlockcrank_host/src/engine.rs
@@ -8,6 +8,7 @@
 //! - `transaction`: a session's open transaction.
 //! - `read`, `write`: one statement outside a transaction.
 //! - `execution`: a statement to run, with its session's state; `choice`: the member that runs it.
+//! - `permits`: which statements may run at one member.
 //! - `pool`: connections to one member; `member_connection`: one connection.
 //! - [`Primaries`]: what this host has observed of primaries; shared with the control thread.
 //! - `witness`: members that must receive a commit before it is acknowledged.
@@ -18,6 +19,7 @@
 mod execution;
 mod member_connection;
 mod order;
+mod permits;
 mod pool;
 mod primaries;
 mod protocol;
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -1,8 +1,8 @@
 //! Checks whether an operation may run: authority (lease), route, key and rate.
 
-use std::sync::Arc;
+use std::{borrow::Cow, fmt, sync::Arc};
 
-use hemlockcrank_core::{Name, catalog::Route};
+use hemlockcrank_core::{Name, catalog::Route, dispatch};
 
 use super::{Code, Proxy};
 use crate::{clock::now_ms, control::HostState, limits};
@@ -23,6 +23,10 @@
     pub(crate) reason: &'static str,
     /// Members that were tried, each with the outcome.
     pub(crate) trail: Trail,
+    /// Time after which the caller may retry, in milliseconds.
+    pub(crate) retry_after_ms: Option<u64>,
+    /// Inputs of the decision, if a full member is the reason.
+    pub(crate) decision: Option<dispatch::Refusal>,
 }
 
 /// Members that were tried, each with the outcome, for the log.
@@ -40,8 +44,8 @@
     }
 }
 
-impl std::fmt::Display for Trail {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for Trail {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(if self.0.is_empty() { "-" } else { &self.0 })
     }
 }
@@ -53,9 +57,45 @@
             code,
             reason,
             trail,
+            retry_after_ms: None,
+            decision: None,
         }
     }
 
+    /// Refusal because the member is full, or all members that may run the operation are.
+    pub(crate) fn full(decision: dispatch::Refusal) -> Self {
+        Self {
+            retry_after_ms: Some(decision.retry_after_ms),
+            decision: Some(decision),
+            ..Self::new(Code::Busy, "the member is full")
+        }
+    }
+
+    /// Text for the caller.
+    pub(crate) fn text(&self) -> Cow<'static, str> {
+        match self.retry_after_ms {
+            Some(ms) => format!("{}; retry after {ms} ms", self.reason).into(),
+            None => self.reason.into(),
+        }
+    }
+
+    /// Inputs of the decision for the log.
+    pub(crate) fn decision_text(&self) -> String {
+        let Some(decision) = self.decision else {
+            return "-".to_owned();
+        };
+        let dispatch::Load {
+            limit,
+            in_progress,
+            waiting,
+        } = decision.load;
+        let limit = limit.unwrap_or(0);
+        let expected_ms = decision.expected_wait_ms;
+        format!(
+            "expected_wait_ms:{expected_ms},limit:{limit},in_progress:{in_progress},waiting:{waiting}"
+        )
+    }
+
     pub(crate) fn with_trail(self, trail: Trail) -> Self {
         Self { trail, ..self }
     }
--- a/crates/hemlockcrank_host/src/engine/execution.rs
+++ b/crates/hemlockcrank_host/src/engine/execution.rs
@@ -2,7 +2,7 @@
 
 use std::{borrow::Cow, sync::Arc, time::Duration};
 
-use hemlockcrank_core::{Name, session::Position};
+use hemlockcrank_core::{Name, dispatch, session::Position};
 use tokio::time::timeout;
 
 use super::{
@@ -15,6 +15,9 @@
 
 /// Longest wait for a connection to one member.
 const ACQUIRE_TIMEOUT: Duration = Duration::from_millis(150);
+/// A statement that waits for a permit starts within 1/`START_FRACTION` of its route's latency
+/// objective. The rest is for its work and its transport.
+const START_FRACTION: u64 = 2;
 
 /// What to send to the member.
 #[derive(Clone, Debug)]
@@ -55,6 +58,14 @@
         Duration::from_millis(self.deadline.saturating_sub(now))
     }
 
+    /// Time until which waiting for a permit is useful, in milliseconds.
+    pub(crate) fn start_deadline(&self) -> u64 {
+        let route = &self.operation.route;
+        let arrived_at = self.deadline.saturating_sub(route.timeout_ms);
+        let useful_ms = (route.objective_ms / START_FRACTION).max(1);
+        self.deadline.min(arrived_at + useful_ms)
+    }
+
     /// Longest wait for a connection to one member.
     pub(crate) fn acquire_timeout(&self) -> Duration {
         self.time_left(now_ms()).min(ACQUIRE_TIMEOUT)
@@ -119,6 +130,8 @@
     Refused(Refusal),
     /// It did not run at this member; contains the reason for the log.
     NotRun(Cow<'static, str>),
+    /// The member is full; it did not run there.
+    Full(dispatch::Refusal),
     /// It ran and failed.
     Failed(Answer),
     /// No answer was received; it may have run.
--- a/crates/hemlockcrank_host/src/engine/pool.rs
+++ b/crates/hemlockcrank_host/src/engine/pool.rs
@@ -24,6 +24,7 @@
 use super::{
     Code, Protocol,
     member_connection::{MemberConnection, OpenError, Purpose, SessionValues, Target},
+    permits::Permits,
     receipt::Receipt,
 };
 use crate::{clock::now_ms, sync::lock};
@@ -38,6 +39,9 @@
 /// Time that a session waits for a connection of its own workspace, before it may replace a
 /// connection of another workspace.
 const OWN_WORKSPACE_WAIT: Duration = Duration::from_millis(40);
+/// The same for a session with a permit of a limited number. It is about the time that a member takes
+/// to open a connection, because the permit is of no use to others meanwhile.
+const PERMIT_OWN_WORKSPACE_WAIT: Duration = Duration::from_millis(12);
 
 /// Why there is no connection. No statement has run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
@@ -84,6 +88,8 @@
     pub(super) protocol: Protocol,
     /// Log position that the member has received, if it is a witness.
     pub(super) receipt: Receipt,
+    /// Permits for statements at the member.
+    pub(crate) permits: Arc<Permits>,
     inner: Mutex<Inner>,
 }
 
@@ -96,7 +102,13 @@
 }
 
 impl Pool {
-    pub(crate) fn new(protocol: Protocol, target: Target, capacity: Capacity) -> Arc<Self> {
+    /// `slots` is the member's number of slots if the statements in progress are limited.
+    pub(crate) fn new(
+        protocol: Protocol,
+        target: Target,
+        capacity: Capacity,
+        slots: Option<usize>,
+    ) -> Arc<Self> {
         let inner = Inner {
             connections: Connections::new(capacity),
             ..Inner::default()
@@ -105,6 +117,7 @@
             target,
             protocol,
             receipt: Receipt::default(),
+            permits: Permits::new(slots),
             inner: Mutex::new(inner),
         })
     }
@@ -129,6 +142,11 @@
         change(&mut lock(&self.inner).load);
     }
 
+    /// Expected wait of a new statement for a permit, in milliseconds.
+    pub(crate) fn expected_wait_ms(&self, workspace: &Name, priority: u32) -> u64 {
+        self.permits.expected_wait_ms(workspace, priority)
+    }
+
     /// Counts a statement at the member until the returned value is dropped.
     pub(crate) fn track_in_flight(self: &Arc<Self>) -> InFlight {
         self.update_load(Load::begin);
@@ -153,7 +171,11 @@
         request: ConnectionRequest<'_>,
         limit: Duration,
     ) -> Result<PooledConnection, Unavailable> {
-        let first_wait = OWN_WORKSPACE_WAIT.min(limit);
+        let own_wait = match self.permits.is_limited() {
+            true => PERMIT_OWN_WORKSPACE_WAIT,
+            false => OWN_WORKSPACE_WAIT,
+        };
+        let first_wait = own_wait.min(limit);
         if let Some(open) = self.take_or_wait(request, false, first_wait).await? {
             return Ok(self.check_out(open));
         }
@@ -432,6 +454,11 @@
         &self.pool.target
     }
 
+    /// The pool that the connection belongs to.
+    pub(crate) fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
     /// The connection; `None` after it was closed.
     pub(crate) fn connection(&mut self) -> Option<&mut MemberConnection> {
         self.connection.as_mut()
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -12,6 +12,7 @@
     Name,
     connections::{Capacity, Fleet},
     group::{Change, Member},
+    sharing::{Assignment, is_shared},
 };
 use tokio::{sync::watch, time::sleep};
 
@@ -123,7 +124,9 @@
             service: service.clone(),
             member: name.clone(),
         };
-        let pool = Pool::new(self.protocol, target, self.capacity(host_state, service));
+        let slots = self.statement_limit(host_state, service, member);
+        let capacity = self.capacity(host_state, service);
+        let pool = Pool::new(self.protocol, target, capacity, slots);
         pools.insert(name.clone(), Arc::clone(&pool));
         pool
     }
@@ -169,6 +172,7 @@
     /// Applies one committed state to the primaries, the pending changes and the pools.
     fn apply_state(&self, host_state: &HostState, pending: &mut HashMap<Name, PendingChange>) {
         let state = &host_state.state;
+        let mut changed: Vec<&Name> = Vec::new();
         for (service, group) in state.groups.iter() {
             let term = group.lead.as_ref().map_or(0, |lead| lead.term);
             let change = group.change;
@@ -186,33 +190,55 @@
                         pending.insert(service.clone(), new);
                     }
                 }
-                None => {
-                    pending.remove(service);
-                }
+                None => changed.extend(pending.remove(service).map(|_| service)),
             }
         }
         let mut pools = lock(&self.pools);
         pools.retain(|name, pool| {
-            let is_member = state.groups.find(name).is_some();
-            if is_member {
-                pool.set_capacity(self.capacity(host_state, &pool.target.service));
-            } else {
+            let Some((service, member)) = state.groups.find(name) else {
                 pool.close_free();
+                return false;
+            };
+            pool.set_capacity(self.capacity(host_state, service));
+            let slots = self.statement_limit(host_state, service, member);
+            pool.permits.set_slots(slots);
+            if changed.contains(&service) {
+                pool.permits.restart();
             }
-            is_member
+            true
         });
     }
 
     /// Connections that this host may have at each member of a service.
     fn capacity(&self, host_state: &HostState, service: &Name) -> Capacity {
-        let settings = host_state.state.catalog.service(service);
-        let fleet = Fleet {
-            connections: settings.map_or(1, |settings| u64::from(settings.connections)),
-            hosts: host_state.serving_hosts,
-        };
+        let fleet = fleet(host_state, service);
         Capacity::new(fleet, self.primaries.share(service))
     }
 
+    /// Slots of a member that limit the statements in progress there; `None` without a limit. Only an
+    /// executor has one, because its statements are those of a whole zone.
+    fn statement_limit(
+        &self,
+        host_state: &HostState,
+        service: &Name,
+        member: &Member,
+    ) -> Option<usize> {
+        self.is_executor(host_state, service)
+            .then(|| usize::try_from(member.slots).unwrap_or(usize::MAX))
+    }
+
+    /// Whether this host runs operations of its zone on a service.
+    fn is_executor(&self, host_state: &HostState, service: &Name) -> bool {
+        let state = &host_state.state;
+        let zone = &self.settings.zone;
+        let hosts = state.view.serving().filter(|host| host.zone == *zone);
+        if !is_shared(fleet(host_state, service), hosts.count()) {
+            return false;
+        }
+        let services = state.groups.iter().map(|(service, _)| service.clone());
+        Assignment::new(&state.view, zone, services).is_executor(service, &self.settings.host)
+    }
+
     /// Releases primaries that are being replaced. Released ones stay in `pending` until their
     /// change has ended, so that none is released twice.
     fn release_primaries(&self, pending: &mut HashMap<Name, PendingChange>) {
@@ -242,3 +268,12 @@
         }
     }
 }
+
+/// All connections of a service's members, and the hosts that need them.
+fn fleet(host_state: &HostState, service: &Name) -> Fleet {
+    let settings = host_state.state.catalog.service(service);
+    Fleet {
+        connections: settings.map_or(1, |settings| u64::from(settings.connections)),
+        hosts: host_state.serving_hosts,
+    }
+}
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hemlockcrank_core::{Name, retry::Backoff, session::Position};
+use hemlockcrank_core::{Name, dispatch, retry::Backoff, session::Position};
 use tokio::{
     task::JoinSet,
     time::{sleep, timeout},
@@ -15,6 +15,7 @@
     choice::Choice,
     execution::{AttemptError, Execution, lagging},
     member_connection::Answer,
+    permits::outcome_of,
     pool::PooledConnection,
     primaries::Guard,
 };
@@ -28,6 +29,29 @@
 /// Maximum number of attempts for one read.
 const MAX_ATTEMPTS: usize = 6;
 
+/// Members that are full, and the decision of the one that is expected to have room first.
+#[derive(Debug, Default)]
+pub(crate) struct FullMembers {
+    pub(crate) names: Vec<Name>,
+    first: Option<dispatch::Refusal>,
+}
+
+impl FullMembers {
+    pub(crate) fn add(&mut self, name: Name, decision: dispatch::Refusal) {
+        self.names.push(name);
+        let earlier = self
+            .first
+            .filter(|first| first.retry_after_ms <= decision.retry_after_ms);
+        self.first = Some(earlier.unwrap_or(decision));
+    }
+
+    /// The decision, if all members in `tried` are full.
+    pub(crate) fn all_of(&self, tried: &[Name]) -> Option<dispatch::Refusal> {
+        let all_full = tried.iter().all(|name| self.names.contains(name));
+        self.first.filter(|_| all_full)
+    }
+}
+
 impl Proxy {
     /// Runs a read, at one member after another, until one returns a result.
     pub(crate) async fn read(self: &Arc<Self>, execution: Execution) -> Result<Answer, Refusal> {
@@ -37,6 +61,7 @@
         let mut running = JoinSet::new();
         let mut attempts = 0;
         let mut failed = None;
+        let mut full = FullMembers::default();
         let mut backoff = Backoff::default();
         loop {
             let now = now_ms();
@@ -59,19 +84,28 @@
                     attempts += 1;
                     tried.push(choice.name.clone());
                     let hedge_ms = choice.pool.load().latency_ms() * HEDGE_LATENCIES;
+                    // A second attempt while the first waits for a permit would wait as well.
+                    let operation = &execution.operation;
+                    let permit_ms = choice
+                        .pool
+                        .expected_wait_ms(&operation.workspace, operation.route.priority);
+                    let hedge = Duration::from_millis(hedge_ms.max(MIN_HEDGE_MS) + permit_ms);
                     running.spawn(Arc::clone(self).attempt(Arc::clone(&execution), choice));
-                    Duration::from_millis(hedge_ms.max(MIN_HEDGE_MS)).min(execution.time_left(now))
+                    hedge.min(execution.time_left(now))
                 }
                 None if !running.is_empty() => execution.time_left(now),
                 None => {
                     if let Some(answer) = failed {
                         return Ok(answer);
                     }
+                    if let Some(decision) = full.all_of(&tried) {
+                        return Err(Refusal::full(decision).with_trail(trail));
+                    }
                     if now >= execution.operation.wait_deadline() || attempts >= MAX_ATTEMPTS {
                         let refusal = Refusal::new(Code::Busy, "no member can serve the read");
                         return Err(refusal.with_trail(trail));
                     }
-                    tried.clear();
+                    tried.clone_from(&full.names);
                     sleep(Duration::from_millis(backoff.next_pause_ms())).await;
                     continue;
                 }
@@ -90,6 +124,10 @@
                     trail.add(&member, "failed");
                     failed = Some(answer);
                 }
+                Err(AttemptError::Full(decision)) => {
+                    trail.add(&member, "full");
+                    full.add(member, decision);
+                }
                 Err(AttemptError::NotRun(reason)) => trail.add(&member, &reason),
                 Err(AttemptError::Lost) => trail.add(&member, "lost"),
             }
@@ -113,6 +151,8 @@
     ) -> Result<Answer, AttemptError> {
         let service = &execution.operation.route.service;
         let _in_flight = choice.pool.track_in_flight();
+        let permit = self.permit(&choice.pool, execution, false).await;
+        let permit = permit.map_err(AttemptError::Full)?;
         let acquired = choice
             .pool
             .acquire(execution.connection_request(), execution.acquire_timeout())
@@ -120,6 +160,7 @@
         let mut pooled = match acquired {
             Ok(pooled) => pooled,
             Err(error) => {
+                permit.finish(error.into());
                 self.record_unavailable(choice, service, error);
                 return Err(AttemptError::NotRun(<&str>::from(error).into()));
             }
@@ -128,6 +169,7 @@
         let outcome = self
             .run_on(&mut pooled, execution, choice.after, choice.guard.as_ref())
             .await;
+        permit.finish(outcome_of(&outcome));
         let now = now_ms();
         match outcome {
             Ok((sent_at, answer)) => {
--- a/crates/hemlockcrank_host/src/engine/session/output.rs
+++ b/crates/hemlockcrank_host/src/engine/session/output.rs
@@ -37,7 +37,7 @@
 
     pub(super) fn reply_refused(&mut self, id: &Name, refusal: &Refusal) {
         self.emit_refusal(id, refusal);
-        self.reply_failed(refusal.code, refusal.reason);
+        self.reply_failed(refusal.code, &refusal.text());
     }
 
     pub(super) fn reply_answer(&mut self, answer: &Answer, status: Status) {
@@ -64,13 +64,18 @@
             .as_ref()
             .and_then(|key| catalog.workspace_by_key(key));
         let workspace = workspace.map_or("-", |workspace| workspace);
-        let fields: [(&str, &dyn std::fmt::Display); 8] = [
+        let retry_after_ms = refusal
+            .retry_after_ms
+            .map_or("-".into(), |ms| ms.to_string());
+        let fields: [(&str, &dyn std::fmt::Display); 10] = [
             ("id", id),
             ("workspace", &workspace),
             ("database", &self.database),
             ("code", &refusal.code),
             ("reason", &refusal.reason),
             ("trail", &refusal.trail),
+            ("retry_after_ms", &retry_after_ms),
+            ("decision", &refusal.decision_text()),
             ("configuration", &catalog.version()),
             ("lease_ms", &host_state.lease.remaining(now_ms())),
         ];
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -1,19 +1,21 @@
 //! A session's open transaction, which is pinned to one connection from its first statement to its
 //! end.
 
-use std::{borrow::Cow, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use hemlockcrank_core::{catalog::Freshness, retry::Backoff, session::Position};
+use hemlockcrank_core::{catalog::Freshness, dispatch::Outcome, retry::Backoff, session::Position};
 use tokio::time::{sleep, timeout};
 
 use super::{
     Code, Proxy, ProxyStatement, Status,
     admission::{Operation, Refusal, Trail},
     choice::Choice,
-    execution::{Execution, lagging},
+    execution::{AttemptError, Execution, lagging},
     member_connection::Answer,
+    permits::answer_outcome,
     pool::{InFlight, PooledConnection},
     primaries::Guard,
+    read::FullMembers,
 };
 use crate::clock::now_ms;
 
@@ -156,6 +158,7 @@
     ) -> Result<PinnedConnection, Refusal> {
         let mut tried = Vec::new();
         let mut trail = Trail::default();
+        let mut full = FullMembers::default();
         let mut backoff = Backoff::default();
         let wait_deadline = now_ms() + self.operation.wait_deadline() - self.operation.arrived_at;
         loop {
@@ -176,14 +179,29 @@
                     tried.push(member.clone());
                     match self.begin_at(proxy, execution, choice).await {
                         Ok(pinned) => return Ok(pinned),
-                        Err(reason) => {
-                            trail.add(&member, &reason);
-                            self.operation
-                                .check_permitted(&proxy.host_state(), needs_primary)?;
+                        Err(AttemptError::Refused(refusal)) => return Err(refusal),
+                        Err(AttemptError::Full(decision)) => {
+                            trail.add(&member, "full");
+                            if needs_primary {
+                                return Err(Refusal::full(decision).with_trail(trail));
+                            }
+                            full.add(member, decision);
+                            continue;
                         }
+                        Err(AttemptError::NotRun(reason)) => trail.add(&member, &reason),
+                        Err(AttemptError::Lost | AttemptError::Failed(_)) => {
+                            trail.add(&member, "lost");
+                        }
+                    }
+                    self.operation
+                        .check_permitted(&proxy.host_state(), needs_primary)?;
+                }
+                None => {
+                    if let Some(decision) = full.all_of(&tried) {
+                        return Err(Refusal::full(decision).with_trail(trail));
                     }
+                    tried.clone_from(&full.names);
                 }
-                None => tried.clear(),
             }
             if now >= wait_deadline.min(execution.deadline) {
                 let refusal = Refusal::new(Code::Busy, "no member can open the transaction");
@@ -193,15 +211,17 @@
         }
     }
 
-    /// Begins at one member; an error contains the reason for the log, and nothing has run.
+    /// Begins at one member; with an error nothing has run.
     async fn begin_at(
         &self,
         proxy: &Arc<Proxy>,
         execution: &Execution,
         choice: Choice,
-    ) -> Result<PinnedConnection, Cow<'static, str>> {
+    ) -> Result<PinnedConnection, AttemptError> {
         let service = &self.operation.route.service;
         let in_flight = choice.pool.track_in_flight();
+        let permit = proxy.permit(&choice.pool, execution, false).await;
+        let permit = permit.map_err(AttemptError::Full)?;
         let mut pooled = match choice
             .pool
             .acquire(execution.connection_request(), execution.acquire_timeout())
@@ -209,11 +229,13 @@
         {
             Ok(pooled) => pooled,
             Err(error) => {
+                permit.finish(error.into());
                 proxy.record_unavailable(&choice, service, error);
-                return Err(<&str>::from(error).into());
+                return Err(AttemptError::NotRun(<&str>::from(error).into()));
             }
         };
-        let connection = pooled.connection().ok_or("no connection")?;
+        let not_run = |reason: &'static str| AttemptError::NotRun(reason.into());
+        let connection = pooled.connection().ok_or(not_run("no connection"))?;
         let mut statements = execution.setup_statements(connection);
         statements.push(ProxyStatement::Begin {
             read: self.read_only,
@@ -226,6 +248,7 @@
         )
         .await;
         let Ok(Ok(Some(answer))) = result else {
+            permit.finish(Outcome::Lost);
             pooled.close();
             choice
                 .pool
@@ -233,8 +256,9 @@
             if let Some(guard) = &choice.guard {
                 proxy.primary_failed(service, guard.term());
             }
-            return Err("lost".into());
+            return Err(AttemptError::Lost);
         };
+        permit.finish(answer_outcome(&answer));
         if let Some(guard) = &choice.guard {
             proxy.record_primary_answer(service, guard.term(), sent_at, &answer);
         }
@@ -243,9 +267,11 @@
                 pooled.close();
             }
             return Err(match answer.outcome {
-                Err((Code::Lagging, _)) => lagging(answer.position, choice.after).into(),
-                Err((code, _)) => <&str>::from(code).into(),
-                Ok(_) => "not begun".into(),
+                Err((Code::Lagging, _)) => {
+                    AttemptError::NotRun(lagging(answer.position, choice.after).into())
+                }
+                Err((code, _)) => not_run(code.into()),
+                Ok(_) => not_run("not begun"),
             });
         }
         Ok(PinnedConnection {
@@ -291,6 +317,9 @@
             if !is_current {
                 return refuse(Code::Aborted, "the primary is being replaced", "released");
             }
+            let Ok(permit) = proxy.permit(pinned.pooled.pool(), execution, true).await else {
+                return refuse(Code::Aborted, "no place at the member in time", "full");
+            };
             if !execution.set_up(&mut pinned.pooled).await {
                 return refuse(Code::Aborted, "the session could not be set up", "lost");
             }
@@ -310,12 +339,14 @@
             let Ok(Ok(answer)) =
                 timeout(execution.time_left(sent_at), connection.run(&query)).await
             else {
+                permit.finish(Outcome::Lost);
                 pinned.pooled.close();
                 if let Some(guard) = &pinned.guard {
                     proxy.primary_failed(&service, guard.term());
                 }
                 return lost();
             };
+            permit.finish(answer_outcome(&answer));
             if let Some(guard) = &pinned.guard {
                 proxy.record_primary_answer(&service, guard.term(), sent_at, &answer);
             }
--- a/crates/hemlockcrank_host/src/engine/write.rs
+++ b/crates/hemlockcrank_host/src/engine/write.rs
@@ -11,6 +11,7 @@
     choice::Choice,
     execution::{AttemptError, Execution},
     member_connection::Answer,
+    permits::outcome_of,
 };
 use crate::clock::now_ms;
 
@@ -43,6 +44,10 @@
                     let refusal = Refusal::new(Code::InDoubt, "no answer from the primary");
                     return Err(refusal.with_trail(trail));
                 }
+                Err(AttemptError::Full(decision)) => {
+                    trail.add(&choice.name, "full");
+                    return Err(Refusal::full(decision).with_trail(trail));
+                }
                 Err(AttemptError::NotRun(reason)) => {
                     trail.add(&choice.name, &reason);
                     if now_ms() >= execution.operation.wait_deadline() {
@@ -62,6 +67,8 @@
     ) -> Result<Answer, AttemptError> {
         let service = &execution.operation.route.service;
         let in_flight = choice.pool.track_in_flight();
+        let permit = self.permit(&choice.pool, execution, false).await;
+        let permit = permit.map_err(AttemptError::Full)?;
         let mut pooled = match choice
             .pool
             .acquire(execution.connection_request(), execution.acquire_timeout())
@@ -69,6 +76,7 @@
         {
             Ok(pooled) => pooled,
             Err(error) => {
+                permit.finish(error.into());
                 self.record_unavailable(choice, service, error);
                 return Err(AttemptError::NotRun(<&str>::from(error).into()));
             }
@@ -77,6 +85,7 @@
             return Err(AttemptError::NotRun("released".into()));
         };
         let outcome = self.run_on(&mut pooled, execution, None, Some(guard)).await;
+        permit.finish(outcome_of(&outcome));
         let now = now_ms();
         let (sent_at, answer) = match outcome {
             Ok(result) => result,
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters and histograms of `opentelemetry`, scraped over HTTP.
 
+use hemlockcrank_core::dispatch::{Class, Load};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider as _},
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -24,6 +25,10 @@
     unknown_outcomes: Counter<u64>,
     read_retries: Counter<u64>,
     waits: Histogram<f64>,
+    dispatch_limit: Gauge<u64>,
+    dispatch_in_progress: Gauge<u64>,
+    dispatch_waiting: Gauge<u64>,
+    dispatch_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -47,6 +52,10 @@
             unknown_outcomes: meter.u64_counter("hemlockcrank_unknown_outcomes").build(),
             read_retries: meter.u64_counter("hemlockcrank_read_retries").build(),
             waits: meter.f64_histogram("hemlockcrank_wait_seconds").build(),
+            dispatch_limit: meter.u64_gauge("hemlockcrank_dispatch_limit").build(),
+            dispatch_in_progress: meter.u64_gauge("hemlockcrank_dispatch_in_progress").build(),
+            dispatch_waiting: meter.u64_gauge("hemlockcrank_dispatch_waiting").build(),
+            dispatch_refusals: meter.u64_counter("hemlockcrank_dispatch_refusals").build(),
             registry,
             _provider: provider,
         })
@@ -83,6 +92,22 @@
         self.waits.record(seconds, &[]);
     }
 
+    /// Records the state of a member's dispatcher that has a limit.
+    pub fn record_dispatch(&self, member: &str, load: Load) {
+        let member = [KeyValue::new("member", member.to_owned())];
+        self.dispatch_limit
+            .record(load.limit.unwrap_or(0) as u64, &member);
+        self.dispatch_in_progress
+            .record(load.in_progress as u64, &member);
+        self.dispatch_waiting.record(load.waiting as u64, &member);
+    }
+
+    /// Counts a statement that a dispatcher refused.
+    pub fn count_dispatch_refusal(&self, class: Class) {
+        self.dispatch_refusals
+            .add(1, &[KeyValue::new("class", class as i64)]);
+    }
+
     /// Returns all values in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new()
