--- a/crates/hemlockcrank_host/src/engine/executor.rs
+++ b/crates/hemlockcrank_host/src/engine/executor.rs
@@ -287,7 +287,7 @@
     /// The refusal for the origin. Also logged here, so that an operation can be followed by its id.
     fn refuse(&self, request: &Execute, refusal: &Refusal, status: Status) -> Executed {
         let host_state = self.host_state();
-        let fields: [(&str, &dyn std::fmt::Display); 9] = [
+        let fields: [(&str, &dyn std::fmt::Display); 11] = [
             ("id", &request.id),
             ("origin", &request.origin.name),
             ("workspace", &request.workspace),
@@ -295,6 +295,8 @@
             ("code", &refusal.code),
             ("reason", &refusal.reason),
             ("trail", &refusal.trail),
+            ("retry_after_ms", &refusal.retry_after_text()),
+            ("decision", &refusal.decision_text()),
             ("configuration", &host_state.state.catalog.version()),
             ("lease_ms", &host_state.lease.remaining(now_ms())),
         ];
@@ -303,7 +305,7 @@
             code: refusal.code,
             reason: Name::from(&*refusal.reason),
             trail: refusal.trail.to_string().into(),
-            retry_after_ms: None,
+            retry_after_ms: refusal.retry_after_ms,
             status,
         })
     }
--- a/crates/hemlockcrank_host/src/engine/forward/call.rs
+++ b/crates/hemlockcrank_host/src/engine/forward/call.rs
@@ -98,7 +98,12 @@
                     trail.append(&refusal.trail);
                     let reason = refusal.reason.as_ref().to_owned();
                     Reply::Refused {
-                        refusal: Refusal::received(refusal.code, reason, trail),
+                        refusal: Refusal::received(
+                            refusal.code,
+                            reason,
+                            trail,
+                            refusal.retry_after_ms,
+                        ),
                         begun,
                     }
                 }
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -137,7 +137,9 @@
             service: service.clone(),
             member: name.clone(),
         };
-        let pool = Pool::new(self.protocol, target, self.capacity(host_state, service));
+        let slots = self.statement_limit(host_state, service, member);
+        let capacity = self.capacity(host_state, service);
+        let pool = Pool::new(self.protocol, target, capacity, slots);
         pools.insert(name.clone(), Arc::clone(&pool));
         pool
     }
@@ -183,6 +185,7 @@
     /// Applies one committed state to the primaries, the pending changes and the pools.
     fn apply_state(&self, host_state: &HostState, pending: &mut HashMap<Name, PendingChange>) {
         let state = &host_state.state;
+        let mut changed: Vec<&Name> = Vec::new();
         for (service, group) in state.groups.iter() {
             let term = group.lead.as_ref().map_or(0, |lead| lead.term);
             let change = group.change;
@@ -200,23 +203,37 @@
                         pending.insert(service.clone(), new);
                     }
                 }
-                None => {
-                    pending.remove(service);
-                }
+                None => changed.extend(pending.remove(service).map(|_| service)),
             }
         }
         let mut pools = lock(&self.pools);
         pools.retain(|name, pool| {
-            let is_member = state.groups.find(name).is_some();
-            if is_member {
-                pool.set_capacity(self.capacity(host_state, &pool.target.service));
-            } else {
+            let Some((service, member)) = state.groups.find(name) else {
                 pool.close_free();
+                return false;
+            };
+            pool.set_capacity(self.capacity(host_state, service));
+            let slots = self.statement_limit(host_state, service, member);
+            pool.permits.set_slots(slots);
+            if changed.contains(&service) {
+                pool.permits.restart();
             }
-            is_member
+            true
         });
     }
 
+    /// Slots of a member that limit the statements in progress there; `None` without a limit. Only an
+    /// executor has one, because its statements are those of a whole zone.
+    fn statement_limit(
+        &self,
+        host_state: &HostState,
+        service: &Name,
+        member: &Member,
+    ) -> Option<usize> {
+        self.is_executor(host_state, service)
+            .then(|| usize::try_from(member.slots).unwrap_or(usize::MAX))
+    }
+
     /// Releases primaries that are being replaced. Released ones stay in `pending` until their
     /// change has ended, so that none is released twice.
     fn release_primaries(&self, pending: &mut HashMap<Name, PendingChange>) {
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters and histograms of `opentelemetry`, scraped over HTTP.
 
+use hemlockcrank_core::dispatch::{Class, Load};
 use opentelemetry::{
     KeyValue, StringValue,
-    metrics::{Counter, Histogram, MeterProvider as _},
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -29,6 +30,10 @@
     declined: Counter<u64>,
     run_directly: Counter<u64>,
     lost: Counter<u64>,
+    dispatch_limit: Gauge<u64>,
+    dispatch_in_progress: Gauge<u64>,
+    dispatch_waiting: Gauge<u64>,
+    dispatch_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -57,6 +62,10 @@
             declined: meter.u64_counter("hemlockcrank_declined").build(),
             run_directly: meter.u64_counter("hemlockcrank_run_directly").build(),
             lost: meter.u64_counter("hemlockcrank_forwarded_lost").build(),
+            dispatch_limit: meter.u64_gauge("hemlockcrank_dispatch_limit").build(),
+            dispatch_in_progress: meter.u64_gauge("hemlockcrank_dispatch_in_progress").build(),
+            dispatch_waiting: meter.u64_gauge("hemlockcrank_dispatch_waiting").build(),
+            dispatch_refusals: meter.u64_counter("hemlockcrank_dispatch_refusals").build(),
             registry,
             _provider: provider,
         })
@@ -122,6 +131,22 @@
         self.waits.record(seconds, &[]);
     }
 
+    /// Records the state of a member's dispatcher that has a limit.
+    pub fn record_dispatch(&self, member: &str, load: Load) {
+        let member = [KeyValue::new("member", member.to_owned())];
+        self.dispatch_limit
+            .record(load.limit.unwrap_or(0) as u64, &member);
+        self.dispatch_in_progress
+            .record(load.in_progress as u64, &member);
+        self.dispatch_waiting.record(load.waiting as u64, &member);
+    }
+
+    /// Counts a statement that a dispatcher refused.
+    pub fn count_dispatch_refusal(&self, class: Class) {
+        self.dispatch_refusals
+            .add(1, &[KeyValue::new("class", class as i64)]);
+    }
+
     /// Returns all values in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new()
