Sharing: a read is run directly as well only if its executor is silent

A read without an answer after 120 ms or more also ran on the origin. An executor that is busy, not lost, then caused connections that are used once, when members were short of slots already. Now the origin waits as long as the executor answers anything.

--- a/crates/hemlockcrank_core/src/sharing/health.rs
+++ b/crates/hemlockcrank_core/src/sharing/health.rs
@@ -10,14 +10,6 @@
 const SILENCE_MS: (u64, u64) = (250, 1_000);
 /// The same time, as a multiple of the executor's latency. An executor that is only busy is not avoided.
 const SILENCE_LATENCIES: u64 = 8;
-/// Shortest time without an answer after which a read is also run directly, in milliseconds.
-const MIN_HEDGE_MS: u64 = 120;
-/// The same time, as a multiple of the executor's latency. An executor that is busy must not cause
-/// connections that are used once.
-const HEDGE_LATENCIES: u64 = 4;
-/// The same time, as one part in this many of the route's latency objective.
-const HEDGE_PART: u64 = 4;
-
 /// Answers and failures of one executor.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Health {
@@ -99,10 +91,11 @@
         true
     }
 
-    /// Time without an answer after which a read is also run directly, in milliseconds.
-    pub fn hedge_ms(&self, executor: &str, objective_ms: u64) -> u64 {
-        let health = self.healths.get(executor).copied().unwrap_or_default();
-        let latencies = health.load.latency_ms() * HEDGE_LATENCIES;
-        latencies.max(MIN_HEDGE_MS).max(objective_ms / HEDGE_PART)
+    /// Whether the executor has not answered anything for too long, although operations were sent to
+    /// it. A read is then run directly as well. One that is only busy must not cause connections that
+    /// are used once.
+    pub fn is_silent(&self, now: u64, executor: &str) -> bool {
+        let health = self.healths.get(executor);
+        health.is_some_and(|health| health.is_silent(now))
     }
 }
--- a/crates/hemlockcrank_host/src/engine/forward.rs
+++ b/crates/hemlockcrank_host/src/engine/forward.rs
@@ -35,6 +35,9 @@
 use call::Call;
 pub(crate) use transaction::Transaction;
 
+/// Interval at which a read that waits for an executor checks whether that is silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What this host knows of executors, and the numbers of its transactions.
 #[derive(Debug, Default)]
 pub(crate) struct Forwarding {
@@ -75,10 +78,8 @@
             execution
                 .operation
                 .check_permitted(&self.host_state(), false)?;
-            let objective_ms = execution.operation.route.objective_ms;
-            let hedge_ms = lock(&self.forwarding.executors).hedge_ms(&executor, objective_ms);
-            let mut call = Box::pin(self.send(&execution, executor, Kind::Read));
-            let Ok(reply) = timeout(Duration::from_millis(hedge_ms), &mut call).await else {
+            let mut call = Box::pin(self.send(&execution, executor.clone(), Kind::Read));
+            let Some(reply) = self.answer_or_silence(&executor, &mut call).await else {
                 self.metrics.count_run_directly();
                 return self.read_at_both(&execution, call).await;
             };
@@ -95,6 +96,21 @@
         self.read(execution).await
     }
 
+    /// Waits for the reply to `call`; `None` if the executor is silent.
+    async fn answer_or_silence<F>(&self, executor: &str, call: &mut F) -> Option<Reply>
+    where
+        F: Future<Output = Reply> + Unpin,
+    {
+        loop {
+            if let Ok(reply) = timeout(SILENCE_CHECK_INTERVAL, &mut *call).await {
+                return Some(reply);
+            }
+            if lock(&self.forwarding.executors).is_silent(now_ms(), executor) {
+                return None;
+            }
+        }
+    }
+
     /// Runs a read on this host as well as at the executor that `call` waits for; the first result
     /// counts.
     async fn read_at_both<F>(
