Core: share of the reads that leave an availability zone

Cause: a member is chosen for each read by its load at this host alone, with 2 ms for another zone. A host that runs the reads of its zone would send all of them away at once when the order of two times changes, and no price is counted.

Change: core::spillover holds a share per other zone from times measured at this host, with their age. Design and alternatives are in docs/design/zone-spillover.md. balance::choose_preferred restricts a choice; choose is unchanged.

Ruled out in trials on the test's discrete-time loop: rising as long as a read in the zone is slower (the queue is measured as late as it is long, so the share overshot to 70% and fell to 0 every 3 s at 150% of demand), and a service time that follows recent reads as a moving average (it follows the overload too, and reads then stop leaving).

Tests: tests/spillover.rs, one per load pattern.

--- a/crates/hemlockcrank_core/src/balance.rs
+++ b/crates/hemlockcrank_core/src/balance.rs
@@ -63,6 +63,11 @@
         now < self.paused_until
     }
 
+    /// Whether this host runs nothing at the member.
+    pub fn is_idle(&self) -> bool {
+        self.running == 0
+    }
+
     /// Moving average of the latency, in milliseconds.
     pub fn latency_ms(&self) -> u64 {
         match self.latency_us {
@@ -98,9 +103,24 @@
 /// Index of the candidate with the shortest expected time. Members that failed recently are chosen only
 /// if there is no other.
 pub fn choose(now: u64, candidates: &[Candidate]) -> Option<usize> {
+    choose_preferred(now, candidates, |_, _| true)
+}
+
+/// Like [`choose`], but only among the candidates that `is_preferred` accepts with their index, unless
+/// it accepts none.
+pub fn choose_preferred<F>(now: u64, candidates: &[Candidate], is_preferred: F) -> Option<usize>
+where
+    F: Fn(usize, &Candidate) -> bool,
+{
     let best = candidates
         .iter()
         .enumerate()
-        .min_by_key(|(_, candidate)| (candidate.load.is_paused(now), candidate.expected_ms()));
+        .min_by_key(|(index, candidate)| {
+            (
+                !is_preferred(*index, candidate),
+                candidate.load.is_paused(now),
+                candidate.expected_ms(),
+            )
+        });
     best.map(|(index, _)| index)
 }
--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`arrival`]: orders that have no number of their own.
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
 //! - [`sharing`]: connections that the hosts of an availability zone share.
+//! - [`spillover`]: the share of the reads that leaves an availability zone.
 //! - [`statement`]: classifies a statement by its text.
 //!
 //! ```
@@ -54,6 +55,7 @@
 pub mod session;
 pub mod share;
 pub mod sharing;
+pub mod spillover;
 pub mod state;
 pub mod statement;
 pub mod succession;
