Engine: reads leave the zone by the share of core::spillover

Cause: a host that runs the reads of its zone chose the member of each read by its own load alone.

Change: on such a host Spillover::choose picks the member, from times that each attempt reports. Elsewhere balance::choose does, as before. Event 450, two metrics, the setting limits.zone_gain_ms. Reads take the primary there only if it is idle or no replica is left.

Tests: the_zone_has_only_a_busy_primary in core. No test runs the engine's path on a site that shares connections.

--- a/crates/hemlockcrank_core/src/spillover.rs
+++ b/crates/hemlockcrank_core/src/spillover.rs
@@ -21,6 +21,7 @@
 //! assert_eq!(spillover.next_zone(6, &["b".into()]), None);
 //! ```
 
+mod choice;
 mod report;
 mod zone;
 
--- a/crates/hemlockcrank_core/tests/spillover.rs
+++ b/crates/hemlockcrank_core/tests/spillover.rs
@@ -4,6 +4,7 @@
 
 use hemlockcrank_core::{
     Name,
+    balance::{Candidate, Load},
     spillover::{Answer, Reason, Spillover},
 };
 
@@ -302,3 +303,28 @@
     }
     assert_eq!(highest, 10);
 }
+
+/// Guards against reads that take the primary's slots from writes, and against reads that a share of 0
+/// holds in a zone where no replica can serve them.
+#[test]
+fn the_zone_has_only_a_busy_primary() {
+    let mut host = Spillover::new("a".into(), GAIN_MS);
+    let zones: [Name; 2] = ["a".into(), "b".into()];
+    let zones: Vec<&Name> = zones.iter().collect();
+    let member = |same_zone, running: u64| {
+        let mut load = Load::default();
+        (0..running).for_each(|_| load.begin());
+        Candidate {
+            load,
+            same_zone,
+            connected: true,
+            primary: same_zone,
+        }
+    };
+
+    let busy = host.choose(0, &[member(true, 1), member(false, 50)], &zones, false);
+    let idle = host.choose(0, &[member(true, 0), member(false, 50)], &zones, false);
+    let alone = host.choose(0, &[member(true, 1)], &zones[..1], false);
+
+    assert_eq!((busy, idle, alone), (Some(1), Some(0), Some(0)));
+}
--- a/crates/hemlockcrank_host/src/engine.rs
+++ b/crates/hemlockcrank_host/src/engine.rs
@@ -7,7 +7,8 @@
 //! - `session`: one caller's session, statement by statement.
 //! - `transaction`: a session's open transaction.
 //! - `read`, `write`: one statement outside a transaction.
-//! - `execution`: a statement to run, with its session's state; `choice`: the member that runs it.
+//! - `execution`: a statement to run, with its session's state; `choice`: the member that runs it;
+//!   `spillover`: whether a read leaves the zone.
 //! - `pool`: connections to one member; `member_connection`: one connection.
 //! - [`Primaries`]: what this host has observed of primaries; shared with the control thread.
 //! - `witness`: members that must receive a commit before it is acknowledged.
@@ -26,6 +27,7 @@
 mod receipt;
 mod serve;
 mod session;
+mod spillover;
 mod transaction;
 mod witness;
 mod write;
--- a/crates/hemlockcrank_host/src/engine/choice.rs
+++ b/crates/hemlockcrank_host/src/engine/choice.rs
@@ -2,12 +2,7 @@
 
 use std::sync::Arc;
 
-use hemlockcrank_core::{
-    Name,
-    balance::{Candidate, choose},
-    catalog::Freshness,
-    session::Position,
-};
+use hemlockcrank_core::{Name, balance::Candidate, catalog::Freshness, session::Position};
 
 use super::{
     Code, Proxy,
@@ -25,6 +20,8 @@
 pub(crate) struct Choice {
     pub(crate) name: Name,
     pub(crate) pool: Arc<Pool>,
+    /// Availability zone of the member.
+    pub(crate) zone: Name,
     /// Position that the member must have reached.
     pub(crate) after: Option<Position>,
     /// Set if the member is the primary.
@@ -40,13 +37,13 @@
         watermark: Position,
         tried: &[Name],
     ) -> Option<Choice> {
-        let now = now_ms();
         let route = &operation.route;
         let group = host_state.state.groups.get(&route.service)?;
         let lead = group.lead.as_ref()?;
         let floor = self.floor(operation, lead.term, watermark);
         let mut members = Vec::new();
         let mut candidates = Vec::new();
+        let mut zones = Vec::new();
         for (name, member) in &group.members {
             let is_primary = *name == lead.member;
             let excluded = match is_primary {
@@ -63,9 +60,16 @@
                 connected: pool.has_free(&operation.workspace),
                 primary: is_primary,
             });
+            zones.push(&member.zone);
             members.push((name, pool, is_primary));
         }
-        let best = choose(now, &candidates)?;
+        let best = self.choose_by_zone(
+            host_state,
+            &route.service,
+            &candidates,
+            &zones,
+            !tried.is_empty(),
+        )?;
         let (name, pool, is_primary) = members.swap_remove(best);
         let guard = match is_primary {
             true => Some(self.primaries.issue_guard(&route.service, lead.term)?),
@@ -74,6 +78,7 @@
         Some(Choice {
             name: name.clone(),
             pool,
+            zone: zones[best].clone(),
             after: floor.filter(|_| !is_primary),
             guard,
         })
@@ -103,6 +108,7 @@
         Some(Choice {
             name: name.clone(),
             pool: self.pool(host_state, service, name, member),
+            zone: member.zone.clone(),
             after: None,
             guard: Some(guard),
         })
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -15,7 +15,7 @@
 };
 use tokio::{sync::watch, time::sleep};
 
-use super::{Primaries, Protocol, member_connection::Target, pool::Pool};
+use super::{Primaries, Protocol, member_connection::Target, pool::Pool, spillover::Spillovers};
 use crate::{
     clock::now_ms,
     control::{Control, HostState},
@@ -73,6 +73,8 @@
     pub(crate) sessions: AtomicUsize,
     /// Steps of a graceful shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
+    /// Reads that leave the zone, by service.
+    pub(super) spillovers: Spillovers,
     /// Connection pools by member.
     pools: Mutex<HashMap<Name, Arc<Pool>>>,
 }
@@ -90,6 +92,7 @@
             metrics: dependencies.metrics,
             sessions: AtomicUsize::new(0),
             phase: dependencies.phase,
+            spillovers: Spillovers::default(),
             pools: Mutex::default(),
         })
     }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hemlockcrank_core::{Name, retry::Backoff, session::Position};
+use hemlockcrank_core::{Name, retry::Backoff, session::Position, spillover};
 use tokio::{
     task::JoinSet,
     time::{sleep, timeout},
@@ -17,6 +17,7 @@
     member_connection::Answer,
     pool::PooledConnection,
     primaries::Guard,
+    spillover::ReadEnd,
 };
 use crate::clock::now_ms;
 
@@ -28,6 +29,15 @@
 /// Maximum number of attempts for one read.
 const MAX_ATTEMPTS: usize = 6;
 
+/// How far an attempt at a member came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// Wait for a connection, in milliseconds.
+    waited_ms: u64,
+    /// Whether the member has no room, or cannot be reached.
+    overloaded: bool,
+}
+
 impl Proxy {
     /// Runs a read, at one member after another, until one returns a result.
     pub(crate) async fn read(self: &Arc<Self>, execution: Execution) -> Result<Answer, Refusal> {
@@ -102,7 +112,26 @@
         execution: Arc<Execution>,
         choice: Choice,
     ) -> (Name, Result<Answer, AttemptError>) {
-        let outcome = self.try_read(&execution, &choice).await;
+        let began_at = now_ms();
+        let mut progress = Progress::default();
+        let outcome = self.try_read(&execution, &choice, &mut progress).await;
+        let end = match &outcome {
+            Ok(_) | Err(AttemptError::Failed(_)) => {
+                let took_ms = now_ms().saturating_sub(began_at);
+                ReadEnd::Answered(spillover::Answer {
+                    began_at,
+                    waited_ms: progress.waited_ms,
+                    ran_ms: took_ms.saturating_sub(progress.waited_ms),
+                })
+            }
+            Err(AttemptError::NotRun(_)) if !progress.overloaded => ReadEnd::Abandoned,
+            Err(AttemptError::NotRun(_) | AttemptError::Lost) => ReadEnd::Failed {
+                began_at,
+                objective_ms: execution.operation.route.objective_ms,
+            },
+            Err(AttemptError::Refused(_)) => ReadEnd::Abandoned,
+        };
+        self.record_read_end(&execution.operation.route.service, &choice, end);
         (choice.name, outcome)
     }
 
@@ -110,7 +139,9 @@
         &self,
         execution: &Execution,
         choice: &Choice,
+        progress: &mut Progress,
     ) -> Result<Answer, AttemptError> {
+        let began_at = now_ms();
         let service = &execution.operation.route.service;
         let _in_flight = choice.pool.track_in_flight();
         let acquired = choice
@@ -120,10 +151,12 @@
         let mut pooled = match acquired {
             Ok(pooled) => pooled,
             Err(error) => {
+                progress.overloaded = true;
                 self.record_unavailable(choice, service, error);
                 return Err(AttemptError::NotRun(<&str>::from(error).into()));
             }
         };
+        progress.waited_ms = now_ms().saturating_sub(began_at);
         let term = choice.guard.as_ref().map(Guard::term);
         let outcome = self
             .run_on(&mut pooled, execution, choice.after, choice.guard.as_ref())
@@ -145,6 +178,7 @@
                         lagging(answer.position, choice.after).into(),
                     )),
                     Err((code, _)) if code.is_not_run() => {
+                        progress.overloaded = matches!(code, Code::Busy | Code::TooMany);
                         Err(AttemptError::NotRun(<&str>::from(*code).into()))
                     }
                     Err(_) => Err(AttemptError::Failed(answer)),
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -113,6 +113,8 @@
     ConnectionSilent = 420,
     /// A database connection was refused or failed.
     ConnectionFailed = 421,
+    /// The share of a service's reads that leave the zone of this host changed.
+    SpilloverChanged = 450,
     /// The settings file was read again.
     Reloaded = 103,
     /// A task of the daemon ended because of a bug.
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters and histograms of `opentelemetry`, scraped over HTTP.
 
+use hemlockcrank_core::Name;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider as _},
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -23,6 +24,8 @@
     refusals: Counter<u64>,
     unknown_outcomes: Counter<u64>,
     read_retries: Counter<u64>,
+    zone_reads: Counter<u64>,
+    spillover_share: Gauge<u64>,
     waits: Histogram<f64>,
 }
 
@@ -46,6 +49,10 @@
             refusals: meter.u64_counter("hemlockcrank_refusals").build(),
             unknown_outcomes: meter.u64_counter("hemlockcrank_unknown_outcomes").build(),
             read_retries: meter.u64_counter("hemlockcrank_read_retries").build(),
+            zone_reads: meter.u64_counter("hemlockcrank_zone_reads").build(),
+            spillover_share: meter
+                .u64_gauge("hemlockcrank_spillover_share_percent")
+                .build(),
             waits: meter.f64_histogram("hemlockcrank_wait_seconds").build(),
             registry,
             _provider: provider,
@@ -78,6 +85,19 @@
         self.read_retries.add(1, &[]);
     }
 
+    /// Counts a read that a replica answered, in the zone or out of it, on a host that runs the reads
+    /// of its zone.
+    pub fn count_zone_read(&self, in_zone: bool) {
+        let target = if in_zone { "in" } else { "out" };
+        self.zone_reads.add(1, &[KeyValue::new("zone", target)]);
+    }
+
+    /// Records the share of a service's reads that leave the zone, in percent.
+    pub fn record_spillover_share(&self, service: &Name, share: u32) {
+        let service = KeyValue::new("service", service.to_string());
+        self.spillover_share.record(share.into(), &[service]);
+    }
+
     /// Records the wait of a statement for tokens and a connection.
     pub fn record_wait(&self, seconds: f64) {
         self.waits.record(seconds, &[]);
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -156,6 +156,9 @@
     pub silence_ms: u64,
     /// Whether replicas serve reads. If not, all reads go to the primary.
     pub replica_reads: bool,
+    /// Time that a read must gain to leave the availability zone, in milliseconds: the price of the
+    /// traffic between zones.
+    pub zone_gain_ms: u64,
 }
 
 impl Default for Limits {
@@ -170,6 +173,7 @@
             zone_drain_ms: 2_500,
             silence_ms: 1_000,
             replica_reads: true,
+            zone_gain_ms: 20,
         }
     }
 }
--- a/crates/hemlockcrank_host/tests/surfaces.rs
+++ b/crates/hemlockcrank_host/tests/surfaces.rs
@@ -69,6 +69,7 @@
         "limits.drain_ms",
         "limits.silence_ms",
         "limits.replica_reads",
+        "limits.zone_gain_ms",
         "log",
     ] {
         assert!(
