--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
 //! - [`dispatch`]: which statements run at a member, wait, or are refused.
 //! - [`sharing`]: connections that the hosts of an availability zone share.
+//! - [`spillover`]: the share of the reads that leaves an availability zone.
 //! - [`statement`]: classifies a statement by its text.
 //!
 //! ```
@@ -56,6 +57,7 @@
 pub mod session;
 pub mod share;
 pub mod sharing;
+pub mod spillover;
 pub mod state;
 pub mod statement;
 pub mod succession;
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Primaries, Protocol, executor::Executor, forward::Forwarding, member_connection::Target,
-    pool::Pool, sharing::Sharing,
+    pool::Pool, sharing::Sharing, spillover::Spillovers,
 };
 use crate::{
     clock::now_ms,
@@ -83,6 +83,8 @@
     /// Operations that others run for this host.
     pub(crate) forwarding: Forwarding,
     pub(super) sharing: Mutex<Arc<Sharing>>,
+    /// Reads that leave the zone, by service.
+    pub(super) spillovers: Spillovers,
     /// Connection pools by member.
     pools: Mutex<HashMap<Name, Arc<Pool>>>,
 }
@@ -104,6 +106,7 @@
             executor: Executor::default(),
             forwarding: Forwarding::default(),
             sharing: Mutex::default(),
+            spillovers: Spillovers::default(),
             pools: Mutex::default(),
         })
     }
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hemlockcrank_core::{Name, dispatch, retry::Backoff, session::Position};
+use hemlockcrank_core::{Name, dispatch, retry::Backoff, session::Position, spillover};
 use tokio::{
     task::JoinSet,
     time::{sleep, timeout},
@@ -18,6 +18,7 @@
     permits::outcome_of,
     pool::PooledConnection,
     primaries::Guard,
+    spillover::ReadEnd,
 };
 use crate::clock::now_ms;
 
@@ -52,6 +53,15 @@
     }
 }
 
+/// How far an attempt at a member came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// Wait for a connection, in milliseconds.
+    waited_ms: u64,
+    /// Whether the member has no room, or cannot be reached.
+    overloaded: bool,
+}
+
 impl Proxy {
     /// Runs a read, at one member after another, until one returns a result.
     pub(crate) async fn read(self: &Arc<Self>, execution: Execution) -> Result<Answer, Refusal> {
@@ -140,7 +150,28 @@
         execution: Arc<Execution>,
         choice: Choice,
     ) -> (Name, Result<Answer, AttemptError>) {
-        let outcome = self.try_read(&execution, &choice).await;
+        let began_at = now_ms();
+        let mut progress = Progress::default();
+        let outcome = self.try_read(&execution, &choice, &mut progress).await;
+        let end = match &outcome {
+            Ok(_) | Err(AttemptError::Failed(_)) => {
+                let took_ms = now_ms().saturating_sub(began_at);
+                ReadEnd::Answered(spillover::Answer {
+                    began_at,
+                    waited_ms: progress.waited_ms,
+                    ran_ms: took_ms.saturating_sub(progress.waited_ms),
+                })
+            }
+            Err(AttemptError::NotRun(_)) if !progress.overloaded => ReadEnd::Abandoned,
+            Err(AttemptError::NotRun(_) | AttemptError::Full(_) | AttemptError::Lost) => {
+                ReadEnd::Failed {
+                    began_at,
+                    objective_ms: execution.operation.route.objective_ms,
+                }
+            }
+            Err(AttemptError::Refused(_)) => ReadEnd::Abandoned,
+        };
+        self.record_read_end(&execution.operation.route.service, &choice, end);
         (choice.name, outcome)
     }
 
@@ -148,7 +179,9 @@
         &self,
         execution: &Execution,
         choice: &Choice,
+        progress: &mut Progress,
     ) -> Result<Answer, AttemptError> {
+        let began_at = now_ms();
         let service = &execution.operation.route.service;
         let _in_flight = choice.pool.track_in_flight();
         let permit = self.permit(&choice.pool, execution, false).await;
@@ -161,10 +194,12 @@
             Ok(pooled) => pooled,
             Err(error) => {
                 permit.finish(error.into());
+                progress.overloaded = true;
                 self.record_unavailable(choice, service, error);
                 return Err(AttemptError::NotRun(<&str>::from(error).into()));
             }
         };
+        progress.waited_ms = now_ms().saturating_sub(began_at);
         let term = choice.guard.as_ref().map(Guard::term);
         let outcome = self
             .run_on(&mut pooled, execution, choice.after, choice.guard.as_ref())
@@ -187,6 +222,7 @@
                         lagging(answer.position, choice.after).into(),
                     )),
                     Err((code, _)) if code.is_not_run() => {
+                        progress.overloaded = matches!(code, Code::Busy | Code::TooMany);
                         Err(AttemptError::NotRun(<&str>::from(*code).into()))
                     }
                     Err(_) => Err(AttemptError::Failed(answer)),
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -119,6 +119,8 @@
     ForwardedRefused = 431,
     /// A transaction that this host ran for another one was rolled back without a statement.
     ForwardedRolledBack = 432,
+    /// The share of a service's reads that leave the zone of this host changed.
+    SpilloverChanged = 450,
     /// The settings file was read again.
     Reloaded = 103,
     /// A task of the daemon ended because of a bug.
