Core: executors that fill a member's queue without a refusal lower their limits

Six executors with slots + 1 statements each fit into a member's queue of 32: it never answers busy, and the most urgent wait there behind all others. A limit that follows refusals alone stayed at 30 statements in progress. Answers that take more than twice the shortest time of their class now lower the limit, to half of the slots at least. One latency for all classes was ruled out, because it follows the mix of statements. A shortest time that rises by 1/64 towards the average followed the queue, and the limit stayed at 30 as well (several_executors_share_a_member failed before).

--- a/crates/hemlockcrank_core/src/dispatch.rs
+++ b/crates/hemlockcrank_core/src/dispatch.rs
@@ -233,15 +233,20 @@
         let Some(limit) = &mut self.limit else {
             return;
         };
+        let took_ms = now.saturating_sub(since);
+        if matches!(outcome, Outcome::Served | Outcome::Lost) {
+            self.service.record(class, took_ms);
+        }
+        let queueing = |us: u64| self.service.is_queueing(class, us);
         match outcome {
+            Outcome::Served if queueing(self.service.class_us(class)) => limit.ease(),
+            // The average follows later.
+            Outcome::Served if queueing(took_ms * 1_000) => {}
             Outcome::Served => limit.raise(),
             Outcome::Busy | Outcome::Lost => limit.lower(now, since),
             Outcome::Unreached => limit.restart(),
             Outcome::Unused => {}
         }
-        if matches!(outcome, Outcome::Served | Outcome::Lost) {
-            self.service.record(class, now.saturating_sub(since));
-        }
     }
 
     /// Removes a statement that waits, because its caller has left or its latest time has passed.
--- a/crates/hemlockcrank_core/src/dispatch/limit.rs
+++ b/crates/hemlockcrank_core/src/dispatch/limit.rs
@@ -1,8 +1,10 @@
 //! Limit of the statements in progress at one member.
 //!
 //! Several hosts share the member without knowing of each other. Each lowers its limit by a part when
-//! the member refuses a statement as busy, and raises it by about one in each round of answers. After
-//! an outage the limit starts at one again, so that the returning load is paced.
+//! the member refuses a statement as busy, and raises it by about one in each round of answers. While
+//! answers show that statements queue at the member, where their priority counts for nothing, it
+//! lowers the limit by about one in a round instead. After an outage the limit starts at one again, so
+//! that the returning load is paced.
 
 /// Thousandths of a statement in a statement.
 const MILLI: u64 = 1_000;
@@ -45,6 +47,16 @@
         self.milli = (self.milli + step).min(self.largest());
     }
 
+    /// Lowers the limit after an answer that shows a queue at the member. Half of the slots are left,
+    /// so that two hosts use a member that is slow by itself.
+    pub(super) fn ease(&mut self) {
+        let smallest = (self.slots / 2).max(1) * MILLI;
+        if self.milli > smallest {
+            let step = MILLI * MILLI / self.milli;
+            self.milli = (self.milli - step).max(smallest);
+        }
+    }
+
     /// Lowers the limit after a refusal of a statement that began at `began_at`. The refusals of one
     /// round lower it once.
     pub(super) fn lower(&mut self, now: u64, began_at: u64) {
--- a/crates/hemlockcrank_core/tests/dispatch/refusals.rs
+++ b/crates/hemlockcrank_core/tests/dispatch/refusals.rs
@@ -107,6 +107,32 @@
     assert_eq!(limits, [3, 1, 1, 1, 1, 1, 1, 1]);
 }
 
+/// Guards against executors that each fill the member's queue without a refusal, where the most urgent
+/// then wait behind all others.
+#[test]
+fn several_executors_share_a_member() {
+    let mut executors = vec![Dispatcher::new(Some(SLOTS)); 6];
+    let mut in_progress = Vec::new();
+    for round in 0..60 {
+        let now = round * 1_000;
+        let running: Vec<Vec<Ticket>> = executors.iter_mut().map(|e| fill(e, now)).collect();
+        let total: usize = running.iter().map(Vec::len).sum();
+        let took_ms = (17 * total / SLOTS).max(17) as u64;
+        for (executor, tickets) in executors.iter_mut().zip(running) {
+            for ticket in tickets {
+                executor.finish(now + took_ms, ticket, Outcome::Served);
+            }
+        }
+        in_progress.push(total);
+    }
+
+    let last = &in_progress[30..];
+    assert!(
+        last.iter().all(|total| (SLOTS..=5 * SLOTS).contains(total)),
+        "{last:?}"
+    );
+}
+
 /// Guards against new work that holds up transactions, which hold locks and a connection.
 #[test]
 fn statements_of_transactions_that_have_begun_go_first() {
