Rate limits: the owner of an exceeded rate is not overloaded by the hosts that ask for tokens

Cause: as soon as a rate was exceeded, its portions were called in, and each token was lent on demand by one small host. Now a large rate stays divided between many hosts, in proportion to their demand, and a host that was refused several times in a row asks after growing pauses and refuses at once meanwhile. Sites of up to 12 hosts are as before. Ruled out: full members (the trail of the refusals), leases (2 s or more were left).

--- a/crates/hemlockcrank_core/src/quota/loans.rs
+++ b/crates/hemlockcrank_core/src/quota/loans.rs
@@ -9,6 +9,10 @@
 /// Window over which spent tokens are counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
+/// Shortest and longest pause before the owner is asked again after it had no token several times in a
+/// row, in milliseconds.
+const PAUSE_MS: (u64, u64) = (20, 640);
+
 /// Outcome of [`Loans::take`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Take {
@@ -18,6 +22,14 @@
     NoToken,
 }
 
+/// Time in which the owner is not asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pause {
+    until: u64,
+    /// Whether the owner answered the last request.
+    pub answered: bool,
+}
+
 /// A request to the owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoanRequest {
@@ -44,6 +56,9 @@
     loans: VecDeque<BorrowedLoan>,
     settled: Vec<Settlement>,
     request_pending: bool,
+    /// Answers without a token, in a row.
+    refusals: u32,
+    pause: Option<Pause>,
     spent: u64,
     spent_last_window: u64,
     window_start: u64,
@@ -92,6 +107,7 @@
             Some(Answer::Reserved { loan, wait_ms }) => (loan, wait_ms),
             Some(Answer::Empty { .. } | Answer::Closed) | None => return,
         };
+        self.refusals = 0;
         self.loans.push_back(BorrowedLoan {
             id: loan.id,
             remaining: loan.amount,
@@ -100,6 +116,24 @@
         });
     }
 
+    /// Notes that the owner had no token, or did not answer. From the second time in a row on, it is not
+    /// asked for a while, because the requests of many hosts for a workspace far over its rate would
+    /// keep it from answering any of them.
+    pub fn back_off(&mut self, now: u64, answered: bool) {
+        let (shortest, longest) = PAUSE_MS;
+        self.refusals = self.refusals.saturating_add(1);
+        if let Some(doublings) = self.refusals.checked_sub(2) {
+            let pause_ms = shortest << doublings.min(u64::BITS / 4);
+            let until = now + pause_ms.min(longest);
+            self.pause = Some(Pause { until, answered });
+        }
+    }
+
+    /// The pause that lasts at `now`.
+    pub fn pause(&self, now: u64) -> Option<Pause> {
+        self.pause.filter(|pause| now < pause.until)
+    }
+
     /// Settles all loans before they expire and returns the settlements to send to the owner, with those
     /// not reported yet; `None` when there is nothing to report.
     pub fn return_unspent(&mut self, now: u64) -> Option<Vec<Settlement>> {
--- a/crates/hemlockcrank_core/src/quota/portion.rs
+++ b/crates/hemlockcrank_core/src/quota/portion.rs
@@ -37,6 +37,9 @@
 const MILLI: u64 = 1_000;
 /// Largest number of hosts with which each may hold one token, however small its portion.
 const FEW_HOSTS: u64 = 12;
+/// Tokens a second up to which the owner lends a whole rate one by one to many hosts. More requests would
+/// take up a small host.
+const MAX_LENT_PER_SECOND: u64 = 100;
 /// Window over which demand is counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
@@ -56,6 +59,20 @@
     TOTAL_PARTS - lendable_parts.clamp(MIN_LENDABLE, TOTAL_PARTS - MIN_MAX_HELD)
 }
 
+/// Most parts that may be held while the workspace is over its rate. They are none where the owner can
+/// lend every token on demand, so that no part is left unused at a host without demand.
+pub fn max_held_over_rate(rate: Rate, hosts: u64) -> u64 {
+    if has_many_hosts(hosts) && rate.per_second > MAX_LENT_PER_SECOND {
+        return max_held(rate);
+    }
+    0
+}
+
+/// Whether there are so many hosts that all of them together can overload the owner of a rate.
+pub fn has_many_hosts(hosts: u64) -> bool {
+    hosts > FEW_HOSTS
+}
+
 /// Whether a rate is divided into portions for this number of hosts. If each host would get less than one
 /// token, the owner lends the whole rate instead.
 pub fn uses_portions(rate: Rate, hosts: u64) -> bool {
@@ -121,8 +138,7 @@
     }
 
     /// Returns the parts that `host`, one of `hosts` serving hosts, may use from now on; all hosts
-    /// together may use `max_parts`. `max_parts` is 0 for a rate that is over its limit, so that no part is
-    /// left unused at a host without demand.
+    /// together may use `max_parts`.
     pub fn allocate(
         &mut self,
         now: u64,
--- a/crates/hemlockcrank_core/tests/allotment/main.rs
+++ b/crates/hemlockcrank_core/tests/allotment/main.rs
@@ -7,6 +7,7 @@
 
 mod explore;
 mod fleet;
+mod overload;
 mod portions;
 mod random;
 mod turns;
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -18,7 +18,10 @@
 
 use hemlockcrank_core::{
     Name, lease,
-    quota::{Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Loans, Settlement, Take, lendable},
+    quota::{
+        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Loans, Settlement, Take, has_many_hosts,
+        lendable,
+    },
     record::Rate,
 };
 use hemlockcrank_wire::{Request, Response};
@@ -143,6 +146,12 @@
                 if loans.take(now) == Take::Admitted {
                     return Ok(());
                 }
+                if let Some(pause) = loans.pause(now) {
+                    return Err(match pause.answered {
+                        true => Refusal::OverRate,
+                        false => Refusal::OwnerUnreachable,
+                    });
+                }
                 let waiting = borrower.waiting.load(Ordering::Relaxed);
                 loans.request(now, waiting + 1)
             };
@@ -162,7 +171,15 @@
             let answer = self
                 .borrow(workspace, request.tokens, max_wait_ms, request.settled)
                 .await;
-            lock(&borrower.loans).receive(now_ms(), request.asked_at, answer);
+            {
+                let mut loans = lock(&borrower.loans);
+                loans.receive(now_ms(), request.asked_at, answer);
+                let has_token =
+                    matches!(answer, Some(Answer::Granted(_) | Answer::Reserved { .. }));
+                if !has_token && has_many_hosts(self.control.host_state().serving_hosts) {
+                    loans.back_off(now_ms(), answer.is_some());
+                }
+            }
             borrower.answered.notify_waiters();
             match answer {
                 Some(Answer::Granted(_)) => {}
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -12,7 +12,10 @@
 
 use hemlockcrank_core::{
     Name,
-    quota::{Allocation, Portion, PortionGrant, PortionRequest, max_held, uses_portions},
+    quota::{
+        Allocation, Portion, PortionGrant, PortionRequest, max_held, max_held_over_rate,
+        uses_portions,
+    },
     record::Rate,
 };
 use hemlockcrank_wire::{Request, Response};
@@ -207,9 +210,13 @@
                 .allocation
                 .retain_hosts(|name| view.get(name).is_some());
             let rate = host_state.state.catalog.rate(&request.workspace);
-            let max_parts = rate
-                .filter(|_| !entry.is_over_rate(now))
-                .map_or(0, max_held);
+            let max_parts = match rate {
+                None => 0,
+                Some(rate) if entry.is_over_rate(now) => {
+                    max_held_over_rate(rate, host_state.serving_hosts)
+                }
+                Some(rate) => max_held(rate),
+            };
             let parts =
                 entry
                     .allocation
