--- a/crates/hemlockcrank_core/src/catalog.rs
+++ b/crates/hemlockcrank_core/src/catalog.rs
@@ -246,6 +246,11 @@
         self.keys.get(key)
     }
 
+    /// Whether a workspace is in the configuration.
+    pub fn has_workspace(&self, name: &str) -> bool {
+        self.rates.contains_key(name)
+    }
+
     /// Workspaces that have a rate limit.
     pub fn rate_limited_workspaces(&self) -> impl Iterator<Item = &Name> {
         let rates = self.rates.iter();
--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -213,8 +213,7 @@
     nominees: BTreeMap<Name, Nominee>,
     /// Log index of the newest order by zone. A snapshot of version 4 ends before it.
     zone_orders: BTreeMap<Name, u64>,
-    /// Intents by service, until their calls are settled. The last field of the state: a snapshot of
-    /// version 5 ends before it.
+    /// Intents by service, until their calls are settled. A snapshot of version 5 ends before it.
     intents: BTreeMap<Name, Vec<Intent>>,
 }
 
--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`failover`]: changes of primary.
 //! - [`catalog`], [`group`], [`succession`], [`floor`]: sites whose configuration is submitted as a
 //!   whole and whose databases manage their own replication.
+//! - [`metering`]: usage by window, reported to the platform once.
 //! - [`arrival`]: orders that have no number of their own.
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
 //! - [`sharing`]: connections that the hosts of an availability zone share.
@@ -41,6 +42,7 @@
 pub mod group;
 pub mod lease;
 pub mod membership;
+pub mod metering;
 pub mod observation;
 pub mod parent;
 pub mod placement;
@@ -51,6 +53,7 @@
 pub mod request;
 pub mod retry;
 pub mod route;
+mod sender;
 pub mod session;
 pub mod share;
 pub mod sharing;
--- a/crates/hemlockcrank_core/src/relay.rs
+++ b/crates/hemlockcrank_core/src/relay.rs
@@ -20,6 +20,7 @@
     Name,
     failover::Report,
     membership::{Host, HostId, View},
+    metering::Tally,
     observation::{Observation, Use, merge},
 };
 
@@ -46,6 +47,8 @@
     pub reports: Vec<Report>,
     /// Its use of the services, if it has changed or is due.
     pub uses: Vec<Use>,
+    /// Its count of operations since the last poll of the relay.
+    pub usage: Option<Tally>,
 }
 
 /// The last poll of a follower.
@@ -58,6 +61,8 @@
     observations: Vec<Observation>,
     /// Whether the use of the services has to be reported with the next poll.
     uses_due: bool,
+    /// Its count of operations, and when it was received.
+    usage: Option<(u64, Tally)>,
 }
 
 /// The hosts that follow the log through this relay.
@@ -83,6 +88,7 @@
         let urgent = is_urgent(last.map(|last| &*last.observations), &observations)
             || reports.iter().any(|report| report.suspects);
         let uses_due = urgent || last.is_none_or(|last| last.uses_due);
+        let usage = last.and_then(|last| last.usage.clone());
         self.urgent |= urgent;
         let name = host.name.clone();
         let heard = Heard {
@@ -92,10 +98,22 @@
             reports,
             observations,
             uses_due,
+            usage,
         };
         self.heard.insert(name, heard);
     }
 
+    /// Notes the count of operations that came with a poll. One that is lost on its way to the leader is
+    /// repeated by the host.
+    pub fn note_usage(&mut self, now: u64, host: &Name, mut tally: Tally) {
+        if let Some(heard) = self.heard.get_mut(host) {
+            if let Some((_, older)) = heard.usage.take() {
+                tally.add_older(older);
+            }
+            heard.usage = Some((now, tally));
+        }
+    }
+
     /// Drops the hosts that are silent, and those that have left the view that they were in.
     pub fn retain(&mut self, now: u64, old: &View, new: &View) {
         self.heard.retain(|name, heard| {
@@ -149,6 +167,10 @@
                 applied: heard.applied,
                 reports: heard.reports.clone(),
                 uses: uses.map(Observation::to_use).collect(),
+                usage: heard.usage.take().map(|(at, tally)| Tally {
+                    age_ms: now.saturating_sub(at),
+                    ..tally
+                }),
             }
         };
         listed.map(report).collect()
--- a/crates/hemlockcrank_core/src/state.rs
+++ b/crates/hemlockcrank_core/src/state.rs
@@ -10,6 +10,7 @@
     directory::{Announcement, Directory, Promotion},
     group::{Edit, Groups},
     membership::{Host, HostId, View},
+    metering::{self, Ledger},
     placement::{PlacementKey, Placements},
     record::{Change, Outcome, Store},
     session::Position,
@@ -67,6 +68,8 @@
         /// Processes that are down.
         down: Vec<HostId>,
     },
+    /// A step in the report of a window's usage.
+    Usage(metering::Entry),
 }
 
 /// The answer to a command.
@@ -83,6 +86,8 @@
         /// Log index of the newest order.
         index: u64,
     },
+    /// A step in the report of usage changed nothing.
+    UsageRefused(metering::Refusal),
 }
 
 /// The state that the control group replicates.
@@ -103,6 +108,8 @@
     pub catalog: Arc<Catalog>,
     /// Groups that manage their own replication.
     pub groups: Arc<Groups>,
+    /// Usage of the closed windows. A snapshot of version 6 ends before it.
+    pub ledger: Arc<Ledger>,
 }
 
 impl State {
@@ -188,6 +195,11 @@
                 let overtaken = Arc::make_mut(&mut self.groups).order_zone(index, order);
                 overtaken.map_or(Reply::Done, |index| Reply::Overtaken { index })
             }
+            Command::Usage(entry) => {
+                let ledger = Arc::make_mut(&mut self.ledger);
+                let outcome = ledger.apply(entry, &self.catalog);
+                outcome.map_or_else(Reply::UsageRefused, |()| Reply::Done)
+            }
             Command::Group(edit) => reply_if(Arc::make_mut(&mut self.groups).apply(index, edit)),
         }
     }
--- a/crates/hemlockcrank_core/src/succession/calls.rs
+++ b/crates/hemlockcrank_core/src/succession/calls.rs
@@ -8,8 +8,8 @@
 //!
 //! The sender resets the connection of a call when its lease ends, so what has not reached the
 //! platform by then never will. The evidence that it has done so is that its host takes part in the
-//! present leadership, which a process does only after it has ended its own. A sender that stays
-//! silent is waited for as long as [`ABSENT_MS`]; after that another member may be promoted, but the
+//! present leadership, which a process does only after it has ended its own ([`Sender`]). A sender that
+//! stays silent is waited for as long as [`ABSENT_MS`]; after that another member may be promoted, but the
 //! member that the call names becomes a witness ([`Groups::witnesses`](crate::group::Groups::witnesses)),
 //! without which nothing is acknowledged, until the sender returns or [`GIVE_UP_MS`] has passed.
 
@@ -19,16 +19,11 @@
 use crate::{
     Name,
     group::{Intent, Nominee},
+    sender::{ABSENT_MS, Sender},
 };
 
 /// Time that the platform takes at most to carry out a call that has reached it, in milliseconds.
 const SETTLE_MS: u64 = 10_000;
-/// Time in which a call that was on its way when its sender returned reaches the platform, in
-/// milliseconds.
-const LANDING_MS: u64 = 1_000;
-/// Longest wait for the sender of an earlier leader's call, in milliseconds. It is longer than the
-/// 11 s that a change of primary may take, so that a partition of that length ends in evidence.
-const ABSENT_MS: u64 = 15_000;
 /// Time after which a sender that never returned counts as gone for good, with its call, in
 /// milliseconds.
 const GIVE_UP_MS: u64 = 60_000;
@@ -58,8 +53,9 @@
             CallState::Accepted { at } | CallState::Unclear { ended_at: at } => {
                 now >= at + SETTLE_MS
             }
-            CallState::Earlier { returned_at, .. } => {
-                returned_at.is_some_and(|at| now >= at + LANDING_MS + SETTLE_MS)
+            CallState::Earlier(sender) => {
+                let landed_at = sender.landed_at();
+                landed_at.is_some_and(|at| now >= at + SETTLE_MS)
             }
         }
     }
@@ -67,17 +63,14 @@
     /// Whether it was made by an earlier leader, and may still reach the platform.
     fn may_arrive(&self, now: u64) -> bool {
         match &self.state {
-            CallState::Earlier { returned_at, .. } => {
-                let landed = returned_at.is_some_and(|at| now >= at + LANDING_MS);
-                !landed && now < self.sent_at + ABSENT_MS
-            }
+            CallState::Earlier(sender) => sender.may_arrive(now),
             _ => false,
         }
     }
 
     /// Whether it is not waited for any more: it is settled, or its sender has been silent for `limit_ms`.
     fn is_waited_out(&self, now: u64, limit_ms: u64) -> bool {
-        let is_earlier = matches!(self.state, CallState::Earlier { .. });
+        let is_earlier = matches!(self.state, CallState::Earlier(_));
         self.is_settled(now) || (is_earlier && now >= self.sent_at + limit_ms)
     }
 }
@@ -92,12 +85,7 @@
     /// Its connection was ended without a clear answer.
     Unclear { ended_at: u64 },
     /// An earlier control leader may have made it.
-    Earlier {
-        /// Control host that made it; `None` if the log does not name it.
-        host: Option<Name>,
-        /// When that host first took part in the present leadership.
-        returned_at: Option<u64>,
-    },
+    Earlier(Sender),
 }
 
 /// The calls of one leadership that are not settled.
@@ -129,23 +117,15 @@
     }
 
     fn add_earlier(&mut self, now: u64, member: &Name, change: u64, host: Option<Name>) {
-        let state = CallState::Earlier {
-            host,
-            returned_at: None,
-        };
+        let state = CallState::Earlier(Sender::new(now, host));
         self.add(now, member, Some(change), state);
     }
 
     /// Notes the control hosts that take part in the present leadership.
     pub(super) fn note_participants(&mut self, now: u64, participants: &BTreeSet<Name>) {
         for call in &mut self.open {
-            if let CallState::Earlier {
-                host: Some(host),
-                returned_at,
-            } = &mut call.state
-                && participants.contains(host)
-            {
-                returned_at.get_or_insert(now);
+            if let CallState::Earlier(sender) = &mut call.state {
+                sender.note_participants(now, participants);
             }
         }
     }
@@ -270,7 +250,7 @@
     pub(super) fn awaited_hosts(&self, now: u64) -> BTreeSet<Name> {
         let open = self.open.iter().filter(|call| call.may_arrive(now));
         open.filter_map(|call| match &call.state {
-            CallState::Earlier { host, .. } => host.clone(),
+            CallState::Earlier(sender) => sender.host.clone(),
             _ => None,
         })
         .collect()
