--- a/crates/hemlockcrank_core/src/metering/collector.rs
+++ b/crates/hemlockcrank_core/src/metering/collector.rs
@@ -48,7 +48,10 @@
 
     /// Oldest window that is not closed and has operations.
     pub fn first_window(&self) -> Option<u64> {
-        let windows = self.processes.values().flat_map(|process| process.windows.keys());
+        let windows = self
+            .processes
+            .values()
+            .flat_map(|process| process.windows.keys());
         windows.min().copied()
     }
 
--- a/crates/hemlockcrank_core/src/metering/reporter.rs
+++ b/crates/hemlockcrank_core/src/metering/reporter.rs
@@ -225,7 +225,9 @@
     /// one of which a host has reported operations.
     fn first_window(&mut self, present: u64, collector: &Collector) -> u64 {
         let first = self.first.get_or_insert(present);
-        *first = collector.first_window().map_or(*first, |window| window.min(*first));
+        *first = collector
+            .first_window()
+            .map_or(*first, |window| window.min(*first));
         *first
     }
 
@@ -272,8 +274,8 @@
 
 /// The intent to send what an earlier leader has closed, if it is not committed.
 fn intent(inputs: &Inputs<'_>) -> Option<Entry> {
-    let is_needed = !inputs.ledger.unconfirmed().is_empty()
-        && !inputs.ledger.callers().contains(inputs.caller);
+    let is_needed =
+        !inputs.ledger.unconfirmed().is_empty() && !inputs.ledger.callers().contains(inputs.caller);
     is_needed.then(|| Entry::Intend(inputs.caller.clone()))
 }
 
--- a/crates/hemlockcrank_core/src/metering/true_time.rs
+++ b/crates/hemlockcrank_core/src/metering/true_time.rs
@@ -62,9 +62,7 @@
         let Some(wall) = difference(reading.wall_ms, at) else {
             return;
         };
-        let told = reading
-            .true_ms
-            .and_then(|true_ms| difference(true_ms, at));
+        let told = reading.true_ms.and_then(|true_ms| difference(true_ms, at));
         self.hosts.insert(host.clone(), Offsets { at, wall, told });
     }
 
--- a/crates/hemlockcrank_host/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -10,11 +10,14 @@
 //! - `supervisor`: the leader's detection of dead hosts and failed primaries.
 //! - `coordinator`: the leader's part in changes of primary in databases that replicate on their
 //!   own.
-//! - `promotion`: the leader's call that changes a primary; `call_report`: how it went.
+//! - `promotion`: the leader's call that changes a primary; `submission`: the one that reports the usage of
+//!   a window; `authority`: the right to make them; `call_report`: how they went.
+//! - `reporting`: the leader's part in reports of usage.
 //! - `orders`: operators' and members' orders that have no number of their own.
 //! - `poller`: polling the leader, or a relay, for updates and a lease.
 
 mod actor;
+mod authority;
 mod bootstrap;
 mod call_report;
 mod coordinator;
@@ -22,6 +25,8 @@
 mod orders;
 mod poller;
 mod promotion;
+mod reporting;
+mod submission;
 mod supervisor;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -47,6 +52,7 @@
     engine::Primaries,
     event::Timeline,
     journal::{Journal, JournalError},
+    metering::Meter,
     peers::{CALL_TIMEOUT, Peers},
     settings::Settings,
 };
@@ -54,10 +60,12 @@
 use actor::{Arguments, ControlActor, Message};
 use group::Group;
 
+pub use authority::Authority;
 pub use call_report::{CallEnd, CallReport};
-pub use coordinator::{Callbacks, Dispatch, RequestPromotion, SendOrder};
+pub use coordinator::{Callbacks, Dispatch, RequestPromotion, SendOrder, SubmitUsage};
 pub use orders::OrderError;
 pub use promotion::Promotion;
+pub use submission::Submission;
 
 /// Attempts to propose a command before giving up when no leader answers.
 const PROPOSE_ATTEMPTS: u32 = 20;
@@ -88,6 +96,13 @@
     }
 }
 
+/// What traffic has observed, which goes to the leader with each poll.
+#[derive(Clone, Debug)]
+pub(crate) struct Observed {
+    pub(crate) primaries: Arc<Primaries>,
+    pub(crate) meter: Arc<Meter>,
+}
+
 /// Why a command has no result.
 #[derive(Debug, Error, Diagnostic)]
 pub enum CommandError {
@@ -157,12 +172,12 @@
 /// # Errors
 ///
 /// [`StartError`] when the data folder or the thread cannot be used.
-pub async fn start(
+pub(crate) async fn start(
     settings: Arc<Settings>,
     host: Host,
     peers: Arc<Peers>,
     timeline: Arc<Timeline>,
-    primaries: Arc<Primaries>,
+    observed: Observed,
     callbacks: Option<Callbacks>,
 ) -> Result<Control, StartError> {
     let group = match &settings.data_dir {
@@ -180,7 +195,7 @@
         peers: Arc::clone(&peers),
         timeline,
         group,
-        primaries,
+        observed,
         callbacks,
         publish,
         change_count,
--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -9,6 +9,7 @@
 mod relaying;
 mod responses;
 mod succession;
+mod usage;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,6 +23,7 @@
     consensus::{Config, Envelope, Input, Role},
     failover::Report,
     membership::{Host, HostId},
+    metering,
     relay::Followers,
     state::State,
     succession::{Order, OrderReply, PromotionReply},
@@ -38,7 +40,7 @@
 use disk::FailedDisk;
 
 use super::{
-    HostState, Status,
+    HostState, Observed, Status,
     bootstrap::Bootstrap,
     coordinator::{Callbacks, Coordinator},
     group::{Group, Proposal, reply},
@@ -50,6 +52,7 @@
     engine::Primaries,
     event::{Event, Timeline},
     journal::JournalError,
+    metering::Meter,
     peers::{CALL_TIMEOUT, Peers},
     settings::Settings,
 };
@@ -99,6 +102,13 @@
         number: u64,
         reply: PromotionReply,
     },
+    /// The platform answered the report of a window's usage.
+    UsageAnswered {
+        /// Leadership that made the call.
+        leadership: u64,
+        number: u64,
+        answer: metering::Answer,
+    },
     /// This host is shutting down.
     Drain,
     /// This host is about to be removed from the view.
@@ -126,7 +136,7 @@
     pub(crate) timeline: Arc<Timeline>,
     /// This host's part in the control group and the state to start from; `None` without a disk.
     pub(crate) group: Option<(Group, State)>,
-    pub(crate) primaries: Arc<Primaries>,
+    pub(crate) observed: Observed,
     pub(crate) callbacks: Option<Callbacks>,
     pub(crate) publish: watch::Sender<Arc<HostState>>,
     pub(crate) change_count: watch::Sender<u64>,
@@ -176,6 +186,7 @@
     config: Config,
     reports: Vec<Report>,
     primaries: Arc<Primaries>,
+    meter: Arc<Meter>,
     callbacks: Option<Callbacks>,
     /// Present while this host leads the control group and has callbacks.
     coordinator: Option<Coordinator>,
@@ -250,7 +261,8 @@
             role: None,
             config: Config::default(),
             reports: Vec::new(),
-            primaries: arguments.primaries,
+            primaries: arguments.observed.primaries,
+            meter: arguments.observed.meter,
             callbacks: arguments.callbacks,
             coordinator: None,
             had_lease: false,
@@ -286,8 +298,16 @@
                 number,
                 reply,
             } => self.note_promotion_reply(&ticket, &member, number, reply)?,
+            Message::UsageAnswered {
+                leadership,
+                number,
+                answer,
+            } => self.note_usage_answer(leadership, number, answer),
             Message::Drain => self.draining = true,
-            Message::Leave => self.leaving = true,
+            Message::Leave => {
+                self.poll(now_ms(), true);
+                self.leaving = true;
+            }
             Message::Status(port) => reply(port, self.status()),
         }
         self.note_role();
@@ -302,6 +322,7 @@
     fn finish_message(&mut self) {
         self.note_role();
         self.poller.note_applied(self.state.index);
+        self.forget_usage();
         self.answer_long_polls();
         self.publish();
     }
--- a/crates/hemlockcrank_host/src/control/actor/events.rs
+++ b/crates/hemlockcrank_host/src/control/actor/events.rs
@@ -1,6 +1,7 @@
 //! Events for committed commands.
 
 use hemlockcrank_core::{
+    metering::Entry,
     record::Outcome,
     state::{Command, Reply},
 };
@@ -86,6 +87,7 @@
                     [("version", &catalog.version()), ("index", &index)];
                 log.emit(Event::CatalogInForce, &fields);
             }
+            (Command::Usage(entry), outcome) => self.log_usage_entry(index, entry, outcome),
             (Command::Group(edit), outcome) => {
                 let fields: [(&str, &dyn std::fmt::Display); 3] = [
                     ("edit", &format!("{edit:?}")),
@@ -97,4 +99,34 @@
             _ => {}
         }
     }
+    /// Logs a step in the report of usage, on the leader only.
+    fn log_usage_entry(&self, index: u64, entry: &Entry, outcome: &Reply) {
+        if self.supervisor.is_none() {
+            return;
+        }
+        let log = &self.timeline;
+        match (entry, outcome) {
+            (_, Reply::UsageRefused(refusal)) => {
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("error", refusal), ("index", &index)];
+                log.emit(Event::UsageRefused, &fields);
+            }
+            (Entry::Close { window, counts, .. }, _) => {
+                let fields: [(&str, &dyn std::fmt::Display); 4] = [
+                    ("window", window),
+                    ("workspaces", &counts.len()),
+                    ("operations", &counts.values().sum::<u64>()),
+                    ("index", &index),
+                ];
+                log.emit(Event::UsageClosed, &fields);
+            }
+            (Entry::Confirm { window, .. }, _) => {
+                log.emit(
+                    Event::UsageConfirmed,
+                    &[("window", window), ("index", &index)],
+                );
+            }
+            (Entry::Intend(_), _) => {}
+        }
+    }
 }
--- a/crates/hemlockcrank_host/src/control/actor/leadership.rs
+++ b/crates/hemlockcrank_host/src/control/actor/leadership.rs
@@ -60,10 +60,10 @@
                 self.followers = Followers::default();
                 self.pending_up.clear();
                 self.supervisor = Some(Supervisor::begin(now_ms(), &self.state));
-                self.coordinator = self
-                    .callbacks
-                    .as_ref()
-                    .map(|_| Coordinator::new(term, now_ms()));
+                self.coordinator = self.callbacks.as_ref().map(|_| {
+                    let reporting = self.new_reporting(term);
+                    Coordinator::new(term, now_ms(), reporting)
+                });
             }
             (false, true) => {
                 self.supervisor = None;
@@ -103,6 +103,7 @@
         for command in commands {
             self.propose(command, None);
         }
+        self.run_reports(now);
         self.run_successions(now)
     }
 
--- a/crates/hemlockcrank_host/src/control/actor/polling.rs
+++ b/crates/hemlockcrank_host/src/control/actor/polling.rs
@@ -81,6 +81,7 @@
             catalog_version: self.state.catalog.version(),
             hold_ms,
             division: self.known_division(),
+            usage: self.meter.tally(now),
             followers: self.followers.list(now, &self.state.view),
         }
     }
@@ -124,10 +125,12 @@
         let now = now_ms();
         match answer {
             None => {
+                self.meter.note_loss();
                 self.followers.repeat_uses();
                 self.poller.note_failure(now);
             }
             Some(FetchReply::NotLeader { leader, address }) => {
+                self.meter.note_loss();
                 self.followers.repeat_uses();
                 // A host that does not know yet that this one leads no more may name it.
                 let leader = leader.filter(|name| *name != self.host.name);
@@ -164,6 +167,7 @@
 
     fn apply_leader_status(&mut self, asked_at: u64, now: u64, status: LeaderStatus) {
         self.primaries.apply_leader_status(asked_at, now, &status);
+        self.meter.note_time(status.leader_term, status.true_ms);
         if let Some(leader) = status.leader.filter(|name| *name != self.host.name) {
             self.poller.note_leader(leader);
         }
--- a/crates/hemlockcrank_host/src/control/actor/relaying.rs
+++ b/crates/hemlockcrank_host/src/control/actor/relaying.rs
@@ -29,6 +29,10 @@
             fetch.reports.clone(),
             fetch.primaries.clone(),
         );
+        if let Some(tally) = &fetch.usage {
+            let host = &fetch.host.name;
+            self.followers.note_usage(now, host, tally.clone());
+        }
         self.hold_poll(now, fetch, port);
     }
 
@@ -68,6 +72,7 @@
         LeaderStatus {
             shares: shares.cloned().unwrap_or_default(),
             leader: self.leader_name(),
+            true_ms: self.meter.true_ms(now),
             ..self.primaries.leader_status(now)
         }
     }
--- a/crates/hemlockcrank_host/src/control/actor/responses.rs
+++ b/crates/hemlockcrank_host/src/control/actor/responses.rs
@@ -39,6 +39,9 @@
                 .observations
                 .record(now, &fetch.host.name, fetch.primaries.clone());
         }
+        if let Some(tally) = &fetch.usage {
+            self.note_usage(now, &fetch.host.id(), tally);
+        }
         self.note_followers(now, &fetch);
         self.hold_poll(now, fetch, port);
     }
@@ -80,6 +83,9 @@
                 continue;
             };
             self.note_host(now, &host, follower.applied, follower.reports.clone());
+            if let Some(tally) = &follower.usage {
+                self.note_usage(now, &follower.id, tally);
+            }
             if let Some(coordinator) = &mut self.coordinator {
                 coordinator
                     .observations
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -1,7 +1,10 @@
 //! Running the successions, which decide the changes of primary: their orders to members and the
 //! answers.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, atomic::Ordering},
+};
 
 use hemlockcrank_core::{
     Name,
@@ -22,21 +25,19 @@
 impl ActorState {
     /// Runs the succession of every service and executes its orders.
     pub(super) fn run_successions(&mut self, now: u64) -> Result<(), JournalError> {
-        let node = self.group.as_ref().and_then(Group::node);
-        let lease_until = node.and_then(Node::lease_until).unwrap_or(0);
         let leads = self.leads(now);
+        if leads {
+            self.note_lease();
+        }
+        let node = self.group.as_ref().and_then(Group::node);
         let (Some(coordinator), Some(supervisor), true) =
             (&mut self.coordinator, &self.supervisor, leads)
         else {
             return Ok(());
         };
-        coordinator
-            .lease_until
-            .store(lease_until, Ordering::Release);
         coordinator.note_view(now, &self.state.view);
         let groups = Arc::clone(&self.state.groups);
-        let mut participants = node.map(Node::participants).unwrap_or_default();
-        participants.insert(self.host.name.clone());
+        let participants = participants(node, &self.host.name);
         let mut orders = Vec::new();
         let catalog = &self.state.catalog;
         let in_catalog = groups
@@ -82,6 +83,17 @@
         Ok(())
     }
 
+    /// Shares the end of the leader's lease with the calls that are in flight.
+    pub(super) fn note_lease(&self) {
+        let node = self.group.as_ref().and_then(Group::node);
+        let lease_until = node.and_then(Node::lease_until).unwrap_or(0);
+        if let Some(coordinator) = &self.coordinator {
+            coordinator
+                .lease_until
+                .store(lease_until, Ordering::Release);
+        }
+    }
+
     /// What an order that is sent now belongs to; `None` on a host that does not lead.
     fn ticket(&self, service: &Name) -> Option<Ticket> {
         let group = self.state.groups.get(service)?;
@@ -180,6 +192,10 @@
             shares: coordinator.shares_of(&fetch.host.name),
             leader: Some(self.host.name.clone()),
             division: coordinator.division_for(fetch),
+            true_ms: coordinator
+                .reporting
+                .as_ref()
+                .and_then(|reporting| reporting.true_ms(now)),
         }
     }
 
@@ -202,7 +218,7 @@
             ("service", service),
             ("member", member),
             ("call", &number),
-            ("token", &promotion.token),
+            ("token", &promotion.authority.token),
         ];
         self.timeline.emit(Event::PromotionAsked, &fields);
         let answer = (callbacks.request_promotion)(promotion);
@@ -257,3 +273,10 @@
         });
     }
 }
+
+/// Control hosts that take part in this leadership, this one included.
+pub(super) fn participants(node: Option<&Node>, host: &Name) -> BTreeSet<Name> {
+    let mut participants = node.map(Node::participants).unwrap_or_default();
+    participants.insert(host.clone());
+    participants
+}
--- a/crates/hemlockcrank_host/src/control/call_report.rs
+++ b/crates/hemlockcrank_host/src/control/call_report.rs
@@ -1,13 +1,13 @@
-//! How a promotion call went.
+//! How a call to the platform went.
 
 use std::fmt::Display;
 
-use hemlockcrank_core::{Name, succession::PromotionReply};
+use hemlockcrank_core::{Name, metering::Answer, succession::PromotionReply};
 use strum::IntoStaticStr;
 
 use crate::event::{Event, Timeline};
 
-/// How a promotion call ended.
+/// How a call to the platform ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum CallEnd {
@@ -29,10 +29,10 @@
     Failed,
 }
 
-/// A promotion call that has ended. Times are in milliseconds since it was requested.
+/// A call to the platform that has ended. Times are in milliseconds since it was requested.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallReport {
-    /// What the answer means for the change of primary.
+    /// What the answer means.
     pub reply: PromotionReply,
     /// How it ended.
     pub end: CallEnd,
@@ -73,22 +73,57 @@
         (service, member): (&Name, &Name),
         number: u64,
         ended_ms: u64,
+    ) {
+        let subject: [(&str, &dyn Display); 2] = [("service", service), ("member", member)];
+        self.emit(
+            timeline,
+            Event::PromotionCallEnded,
+            &subject,
+            number,
+            ended_ms,
+        );
+    }
+
+    /// Logs the report of a call that ended `ended_ms` after it was requested.
+    pub(super) fn log_usage(&self, timeline: &Timeline, window: u64, number: u64, ended_ms: u64) {
+        let subject: [(&str, &dyn Display); 1] = [("window", &window)];
+        self.emit(timeline, Event::UsageCallEnded, &subject, number, ended_ms);
+    }
+
+    /// What the answer means for the report of a window's usage.
+    pub(super) fn usage_answer(&self) -> Answer {
+        match self.reply {
+            PromotionReply::Accepted => Answer::Confirmed,
+            PromotionReply::NotSent => Answer::NotDone,
+            PromotionReply::NotRunning | PromotionReply::Unknown => Answer::Unknown,
+        }
+    }
+
+    fn emit(
+        &self,
+        timeline: &Timeline,
+        event: Event,
+        subject: &[(&str, &dyn Display)],
+        number: u64,
+        ended_ms: u64,
     ) {
         let end: &str = self.end.into();
-        let fields: [(&str, &dyn Display); 11] = [
-            ("service", service),
-            ("member", member),
+        let (connected_ms, lease_left_ms) = (shown(self.connected_ms), shown(self.lease_left_ms));
+        let (unacknowledged_ms, written_ms) =
+            (shown(self.unacknowledged_ms), shown(self.written_ms));
+        let status = shown(self.status);
+        let call: [(&str, &dyn Display); 9] = [
             ("call", &number),
-            ("connected_ms", &shown(self.connected_ms)),
-            ("lease_left_ms", &shown(self.lease_left_ms)),
+            ("connected_ms", &connected_ms),
+            ("lease_left_ms", &lease_left_ms),
             ("resets", &self.resets),
-            ("unacknowledged_ms", &shown(self.unacknowledged_ms)),
-            ("written_ms", &shown(self.written_ms)),
+            ("unacknowledged_ms", &unacknowledged_ms),
+            ("written_ms", &written_ms),
             ("ended_ms", &ended_ms),
             ("end", &end),
-            ("status", &shown(self.status)),
+            ("status", &status),
         ];
-        timeline.emit(Event::PromotionCallEnded, &fields);
+        timeline.emit(event, &[subject, &call].concat());
     }
 }
 
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -27,7 +27,7 @@
 
 use hemlockcrank_wire::{Division, Fetch};
 
-use super::{CallReport, Promotion};
+use super::{Authority, CallReport, Promotion, Submission, reporting::Reporting};
 use crate::clock::now_ms;
 
 /// Time after a change of the view in which the hosts' reports on commits may be incomplete, in
@@ -46,6 +46,8 @@
 pub type SendOrder = dyn Fn(Dispatch) -> AnswerFuture<OrderReply> + Send + Sync;
 /// Requests a change of primary from the platform, and reports how the call went.
 pub type RequestPromotion = dyn Fn(Promotion) -> AnswerFuture<CallReport> + Send + Sync;
+/// Reports the usage of a window to the platform, and reports how the call went.
+pub type SubmitUsage = dyn Fn(Submission) -> AnswerFuture<CallReport> + Send + Sync;
 
 /// An order and the member that it goes to.
 #[derive(Clone, Debug)]
@@ -77,6 +79,8 @@
     pub send_order: Arc<SendOrder>,
     /// Requests a change of primary.
     pub request_promotion: Arc<RequestPromotion>,
+    /// Reports the usage of a window.
+    pub submit_usage: Arc<SubmitUsage>,
 }
 
 impl fmt::Debug for Callbacks {
@@ -93,6 +97,8 @@
     pub(crate) observations: Observations,
     /// End of the leader's lease, shared with the promotions that are in flight.
     pub(crate) lease_until: Arc<AtomicU64>,
+    /// Reports of usage, on sites that have them.
+    pub(crate) reporting: Option<Reporting>,
     view: Arc<View>,
     view_changed_at: u64,
     successions: BTreeMap<Name, Succession>,
@@ -106,12 +112,13 @@
 
 impl Coordinator {
     /// Starts a leadership in `term`.
-    pub(crate) fn new(term: u64, now: u64) -> Self {
+    pub(crate) fn new(term: u64, now: u64, reporting: Option<Reporting>) -> Self {
         Self {
             term,
             started_at: now,
             observations: Observations::new(term),
             lease_until: Arc::default(),
+            reporting,
             view: Arc::default(),
             view_changed_at: 0,
             successions: BTreeMap::new(),
@@ -236,6 +243,13 @@
         Promotion {
             service: service.clone(),
             member,
+            authority: self.authority(holder),
+        }
+    }
+
+    /// The right of this leadership to call the platform.
+    pub(crate) fn authority(&self, holder: Name) -> Authority {
+        Authority {
             holder,
             token: self.term,
             lease_until: Arc::clone(&self.lease_until),
--- a/crates/hemlockcrank_host/src/control/promotion.rs
+++ b/crates/hemlockcrank_host/src/control/promotion.rs
@@ -1,21 +1,8 @@
 //! The leader's request for a change of primary.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
-
 use hemlockcrank_core::Name;
-use tokio::time::sleep;
-
-use crate::clock::now_ms;
 
-/// Longest time between two looks at the lease, in milliseconds. Timers do not count the time in which
-/// the machine is suspended, but the lease does.
-const LOOK_INTERVAL_MS: u64 = 50;
+use super::Authority;
 
 /// A request for a change of primary.
 #[derive(Clone, Debug)]
@@ -24,31 +11,6 @@
     pub service: Name,
     /// Member that becomes the primary.
     pub member: Name,
-    /// Name of this host, the control leader.
-    pub holder: Name,
-    /// Fencing token: the leader's term in the control group.
-    pub token: u64,
-    /// End of the leader's lease on this process's clock, in milliseconds. It moves while the leader
-    /// hears its quorum.
-    pub lease_until: Arc<AtomicU64>,
-}
-
-impl Promotion {
-    /// Time left of the leader's lease, in milliseconds; no other host can lead before it has ended.
-    /// Check it right before the request is sent.
-    pub fn lease_left_ms(&self) -> u64 {
-        let until = self.lease_until.load(Ordering::Acquire);
-        until.saturating_sub(now_ms())
-    }
-
-    /// Waits until the lease has ended, extensions included. A call without an answer must be reset then.
-    pub async fn ended(&self) {
-        loop {
-            let left_ms = self.lease_left_ms();
-            if left_ms == 0 {
-                return;
-            }
-            sleep(Duration::from_millis(left_ms.min(LOOK_INTERVAL_MS))).await;
-        }
-    }
+    /// Right to make the call.
+    pub authority: Authority,
 }
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -20,11 +20,12 @@
     caller,
     clock::wall_ms,
     context::Context,
-    control::{self, Callbacks, StartError},
+    control::{self, Callbacks, Observed, StartError},
     engine::{self, Dependencies, Primaries, Protocol, Proxy},
     event::{Event, Timeline},
     http,
     limits::{Limits, Portions},
+    metering::Meter,
     metrics::{Metrics, MetricsError},
     peers::Peers,
     phase::Phase,
@@ -142,6 +143,7 @@
                 .and_then(|platform| platform.control),
         };
         let primaries = Arc::new(Primaries::default());
+        let meter = Arc::new(Meter::new(settings.windows()));
         let (protocol, callbacks) = match adapter {
             Some(adapter) => (Some(adapter.protocol), Some(adapter.callbacks)),
             None => (None, None),
@@ -151,7 +153,10 @@
             host,
             Arc::clone(&peers),
             Arc::clone(&timeline),
-            Arc::clone(&primaries),
+            Observed {
+                primaries: Arc::clone(&primaries),
+                meter: Arc::clone(&meter),
+            },
             callbacks,
         )
         .await?;
@@ -174,6 +179,7 @@
                     limits: Arc::clone(&limits),
                     portions: Arc::clone(&portions),
                     primaries,
+                    meter,
                     timeline: Arc::clone(&timeline),
                     metrics: Arc::clone(&metrics),
                     phase: phases.clone(),
--- a/crates/hemlockcrank_host/src/engine/execution.rs
+++ b/crates/hemlockcrank_host/src/engine/execution.rs
@@ -11,7 +11,7 @@
     member_connection::{Answer, MemberConnection, SessionValues},
     pool::{ConnectionRequest, PooledConnection},
 };
-use crate::clock::now_ms;
+use crate::{clock::now_ms, metering::Counted};
 
 /// Longest wait for a connection to one member.
 const ACQUIRE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -40,6 +40,8 @@
     pub(crate) watermark: Position,
     /// Local time after which the statement is not run any more, in milliseconds.
     pub(crate) deadline: u64,
+    /// Whether the operation has been counted for the report of usage.
+    pub(crate) counted: Counted,
 }
 
 impl Execution {
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -15,12 +15,13 @@
 };
 use tokio::{sync::watch, time::sleep};
 
-use super::{Primaries, Protocol, member_connection::Target, pool::Pool};
+use super::{Primaries, Protocol, execution::Execution, member_connection::Target, pool::Pool};
 use crate::{
     clock::now_ms,
     control::{Control, HostState},
     event::{Event, Timeline},
     limits::{Limits, Portions},
+    metering::Meter,
     metrics::Metrics,
     phase::Phase,
     settings::Settings,
@@ -53,6 +54,7 @@
     pub(crate) limits: Arc<Limits>,
     pub(crate) portions: Arc<Portions>,
     pub(crate) primaries: Arc<Primaries>,
+    pub(crate) meter: Arc<Meter>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) phase: watch::Receiver<Phase>,
@@ -67,6 +69,7 @@
     pub(crate) limits: Arc<Limits>,
     pub(crate) portions: Arc<Portions>,
     pub(crate) primaries: Arc<Primaries>,
+    pub(crate) meter: Arc<Meter>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
     /// Number of open sessions.
@@ -86,6 +89,7 @@
             limits: dependencies.limits,
             portions: dependencies.portions,
             primaries: dependencies.primaries,
+            meter: dependencies.meter,
             timeline: dependencies.timeline,
             metrics: dependencies.metrics,
             sessions: AtomicUsize::new(0),
@@ -98,6 +102,14 @@
         self.control.host_state()
     }
 
+    /// Counts an operation that was sent to a member at `sent_at`, once.
+    pub(crate) fn count_operation(&self, execution: &Execution, sent_at: u64) {
+        let workspace = &execution.operation.workspace;
+        if self.meter.count(&execution.counted, sent_at, workspace) {
+            self.metrics.count_metered();
+        }
+    }
+
     /// Local address for connections to members.
     pub(crate) fn source_ip(&self) -> IpAddr {
         self.settings.listen.peer.ip()
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -191,8 +191,16 @@
             return Err(AttemptError::NotRun("not prepared".into()));
         };
         match timeout(execution.time_left(sent_at), connection.run(&query)).await {
-            Ok(Ok(answer)) => Ok((sent_at, answer)),
+            Ok(Ok(answer)) => {
+                let has_run = !matches!(&answer.outcome, Err((code, _)) if code.is_not_run());
+                if has_run {
+                    self.count_operation(execution, sent_at);
+                }
+                Ok((sent_at, answer))
+            }
             _ => {
+                // It may have begun to run. A read that is repeated elsewhere is counted once all the same.
+                self.count_operation(execution, sent_at);
                 pooled.close();
                 Err(AttemptError::Lost)
             }
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -23,6 +23,7 @@
 use crate::{
     clock::now_ms,
     event::Event,
+    metering::Counted,
     phase::{self, Phase},
 };
 
@@ -432,6 +433,7 @@
             values: Arc::clone(&self.values),
             watermark: self.watermark,
             deadline,
+            counted: Counted::default(),
         }
     }
 }
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -248,6 +248,7 @@
                 Ok(_) => "not begun".into(),
             });
         }
+        proxy.count_operation(execution, sent_at);
         Ok(PinnedConnection {
             pooled,
             guard: choice.guard,
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -95,6 +95,20 @@
     PromotionWithheld = 315,
     /// A witness did not confirm in time that it has received a commit.
     WitnessMissed = 316,
+    /// The counts of a window were committed.
+    UsageClosed = 320,
+    /// The control leader sends a window to the platform.
+    UsageSent = 321,
+    /// A call with a window ended: its times, and how it ended.
+    UsageCallEnded = 322,
+    /// It is committed that the platform has a window.
+    UsageConfirmed = 323,
+    /// A step in the report of a window changed nothing.
+    UsageRefused = 324,
+    /// The leader sends no window, as a call of an earlier leader may still arrive.
+    UsageWithheld = 325,
+    /// Operations of this host are in no report.
+    UsageDropped = 326,
     /// A caller was refused at the start of its connection.
     CallerRefused = 400,
     /// A caller's key was withdrawn while it was connected.
--- a/crates/hemlockcrank_host/src/lib.rs
+++ b/crates/hemlockcrank_host/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod journal;
 pub mod limits;
 pub mod logging;
+mod metering;
 pub mod metrics;
 pub mod peers;
 pub mod pg;
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -23,6 +23,7 @@
     refusals: Counter<u64>,
     unknown_outcomes: Counter<u64>,
     read_retries: Counter<u64>,
+    metered: Counter<u64>,
     waits: Histogram<f64>,
 }
 
@@ -46,6 +47,7 @@
             refusals: meter.u64_counter("hemlockcrank_refusals").build(),
             unknown_outcomes: meter.u64_counter("hemlockcrank_unknown_outcomes").build(),
             read_retries: meter.u64_counter("hemlockcrank_read_retries").build(),
+            metered: meter.u64_counter("hemlockcrank_metered_operations").build(),
             waits: meter.f64_histogram("hemlockcrank_wait_seconds").build(),
             registry,
             _provider: provider,
@@ -78,6 +80,11 @@
         self.read_retries.add(1, &[]);
     }
 
+    /// Counts an operation in the report of usage.
+    pub fn count_metered(&self) {
+        self.metered.add(1, &[]);
+    }
+
     /// Records the wait of a statement for tokens and a connection.
     pub fn record_wait(&self, seconds: f64) {
         self.waits.record(seconds, &[]);
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -9,7 +9,7 @@
     path::{Path, PathBuf},
 };
 
-use hemlockcrank_core::Name;
+use hemlockcrank_core::{Name, metering::Windows};
 use miette::{Diagnostic, NamedSource, SourceOffset, SourceSpan};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
@@ -174,6 +174,26 @@
     }
 }
 
+/// Reports of usage to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Usage {
+    /// Length of a window, in seconds.
+    pub window_s: u64,
+    /// Time after the end of a window in which its report is due, in seconds.
+    pub delay_s: u64,
+}
+
+impl Usage {
+    /// The same for decisions.
+    pub fn windows(self) -> Windows {
+        Windows {
+            length_ms: self.window_s.saturating_mul(1_000),
+            delay_ms: self.delay_s.saturating_mul(1_000),
+        }
+    }
+}
+
 /// Addresses for a platform that replaces PostgreSQL.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -187,6 +207,9 @@
     /// Address of the platform's service that changes primaries.
     #[serde(default)]
     pub promotions: Option<SocketAddr>,
+    /// Reports of usage to the address of `promotions`; without them nothing is counted.
+    #[serde(default)]
+    pub usage: Option<Usage>,
 }
 
 fn default_disk_losses() -> usize {
@@ -275,6 +298,12 @@
         Ok(settings)
     }
 
+    /// Windows of the reports of usage, on sites that have them.
+    pub fn windows(&self) -> Option<Windows> {
+        let usage = self.platform.as_ref()?.usage?;
+        Some(usage.windows())
+    }
+
     /// Peer address that other hosts should use.
     pub fn peer_address(&self) -> SocketAddr {
         self.advertise_peer.unwrap_or(self.listen.peer)
@@ -317,6 +346,14 @@
         if self.zone.is_empty() {
             return fail("zone", "is empty".into(), "name the availability zone");
         }
+        let usage = self.platform.as_ref().and_then(|platform| platform.usage);
+        if usage.is_some_and(|usage| usage.window_s == 0 || usage.delay_s == 0) {
+            return fail(
+                "platform.usage",
+                "has a window or a delay of 0".into(),
+                "use 1 or more",
+            );
+        }
         if !(1..=MAX_DISK_LOSSES).contains(&self.disk_losses) {
             return fail(
                 "disk_losses",
--- a/crates/hemlockcrank_host/tests/seeds.rs
+++ b/crates/hemlockcrank_host/tests/seeds.rs
@@ -3,7 +3,8 @@
 use std::{path::Path, sync::Arc};
 
 use hemlockcrank_core::membership::View;
-use hemlockcrank_host::{Settings, event::Timeline, peers::Peers};
+use hemlockcrank_host::{Settings, event::Timeline, peers::Peers, settings::Usage};
+use rstest::rstest;
 
 fn settings(host: &str, found_from_seeds: bool) -> String {
     format!(
@@ -61,8 +62,11 @@
     assert!(error.to_string().contains("host"), "{error}");
 }
 
-#[test]
-fn the_rendered_deploy_template_has_valid_settings() {
+/// Guards against settings that are no JSON on sites with, or without, reports of usage.
+#[rstest]
+#[case::without_usage(None)]
+#[case::with_usage(Some(Usage { window_s: 5, delay_s: 10 }))]
+fn the_rendered_deploy_template_has_valid_settings(#[case] usage: Option<Usage>) {
     let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/settings.json");
     let text = std::fs::read_to_string(template).expect("template");
     let rendered = [
@@ -91,10 +95,24 @@
     let text = rendered
         .iter()
         .fold(text, |text, (from, to)| text.replace(from, to));
+    let (before, rest) = text
+        .split_once("{{#bounds.reportWindowS}}")
+        .expect("section");
+    let (section, after) = rest
+        .split_once("{{/bounds.reportWindowS}}")
+        .expect("section");
+    let section = usage.map_or_else(String::new, |usage| {
+        section
+            .replace("{{bounds.reportWindowS|json}}", &usage.window_s.to_string())
+            .replace("{{bounds.usageDelayS|json}}", &usage.delay_s.to_string())
+    });
+    let text = [before, &section, after].concat();
 
     let settings = Settings::parse("rendered", &text).expect("valid settings");
 
     assert_eq!(settings.disk_losses, 2);
+    let platform = settings.platform.as_ref();
+    assert_eq!(platform.and_then(|platform| platform.usage), usage);
     assert!(
         settings
             .platform
--- a/crates/hemlockcrank_wire/src/call.rs
+++ b/crates/hemlockcrank_wire/src/call.rs
@@ -8,6 +8,7 @@
     consensus::{Config, Envelope, Id},
     failover::Report,
     membership::Host,
+    metering::Tally,
     observation::Observation,
     quota::{Answer, Handover, PortionGrant, PortionRequest, Settlement},
     relay::Follower,
@@ -117,6 +118,8 @@
     /// Version of the division of connections that the sender has for all its followers; 0 if it
     /// has none.
     pub division: u64,
+    /// Operations that the sender has counted, on sites that report them.
+    pub usage: Option<Tally>,
 }
 
 /// The division of connections between the followers of a relay.
@@ -144,6 +147,8 @@
     pub leader: Option<Name>,
     /// For a relay, the division between its followers if it has changed.
     pub division: Option<Division>,
+    /// True time when the answer was sent, in milliseconds since the start of 1970, if it is known.
+    pub true_ms: Option<u64>,
 }
 
 /// A position that was an upper bound of all acknowledged commits at the time of sampling.
--- a/crates/hemlockcrank_wire/src/codec.rs
+++ b/crates/hemlockcrank_wire/src/codec.rs
@@ -52,19 +52,21 @@
     Ok(value)
 }
 
-/// Decodes a control state, also one of an older version: that of version 5 ends before the intents
-/// to promote, that of version 4 before the zones' orders, too, that of version 3 before the
-/// nominated members, too.
+/// Decodes a control state, also one of an older version: that of version 6 ends before the ledger of
+/// usage, that of version 5 before the intents to promote, too, that of version 4 before the zones'
+/// orders, too, that of version 3 before the nominated members, too.
 ///
 /// # Errors
 ///
 /// [`CodecError`] if `bytes` is no state of any of these versions.
 pub fn decode_state(bytes: &[u8]) -> Result<State, CodecError> {
-    /// Encodings of the maps that older versions lack, each without entries.
-    const MISSING_MAPS: [u8; 3] = [0; 3];
+    /// Encodings of the maps that versions before 6 lack, each without entries.
+    const MISSING_MAPS: usize = 3;
+    /// Encoding of the ledger without entries, which all older versions lack.
+    const LEDGER_BYTES: usize = 4;
     decode(bytes).or_else(|error| {
-        let older = (1..=MISSING_MAPS.len()).find_map(|count| {
-            let completed = [bytes, &MISSING_MAPS[..count]].concat();
+        let older = (LEDGER_BYTES..=LEDGER_BYTES + MISSING_MAPS).find_map(|count| {
+            let completed = [bytes, &[0; LEDGER_BYTES + MISSING_MAPS][..count]].concat();
             decode(&completed).ok()
         });
         older.ok_or(error)
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -25,7 +25,7 @@
 pub use server::{Incoming, serve};
 
 /// Version of the protocol between hosts.
-pub const VERSION: u32 = 6;
+pub const VERSION: u32 = 7;
 /// Maximum size of a request or response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
--- a/crates/hemlockcrank_wire/tests/odd_bodies.rs
+++ b/crates/hemlockcrank_wire/tests/odd_bodies.rs
@@ -24,6 +24,7 @@
         hold_ms: 250,
         followers: Vec::new(),
         division: 0,
+        usage: None,
     });
     encode(&request).expect("bytes")
 }
--- a/crates/hemlockcrank_wire/tests/old_state.rs
+++ b/crates/hemlockcrank_wire/tests/old_state.rs
@@ -26,14 +26,15 @@
 }
 
 /// Guards against a host that starts with an empty state after an update, because its snapshot ends
-/// before the maps that later versions have added.
+/// before what later versions have added.
 #[rstest]
-#[case::version_5(1)]
-#[case::version_4(2)]
-#[case::version_3(3)]
-fn a_state_of_an_older_version_is_read_whole(#[case] missing_maps: usize) {
+#[case::version_6(4)]
+#[case::version_5(5)]
+#[case::version_4(6)]
+#[case::version_3(7)]
+fn a_state_of_an_older_version_is_read_whole(#[case] missing_bytes: usize) {
     let mut bytes = encode(&state()).expect("bytes");
-    let older = bytes.split_off(bytes.len() - missing_maps);
+    let older = bytes.split_off(bytes.len() - missing_bytes);
     assert!(older.iter().all(|byte| *byte == 0));
 
     let decoded = decode_state(&bytes);
@@ -46,7 +47,7 @@
 fn a_state_that_is_cut_short_is_refused() {
     let bytes = encode(&state()).expect("bytes");
 
-    let decoded = decode_state(&bytes[..bytes.len() - 4]);
+    let decoded = decode_state(&bytes[..bytes.len() - 8]);
 
     assert!(decoded.is_err());
 }
