--- a/crates/hemlockcrank_core/tests/repeats.rs
+++ b/crates/hemlockcrank_core/tests/repeats.rs
@@ -10,6 +10,7 @@
     Name,
     catalog::{Catalog, Draft},
     group::{Age, Edit, Member, Notice, Standing, ZoneOrder},
+    metering::{Caller, Counts, Entry},
     placement::PlacementKey,
     record::{Action, Change, Id, Kind},
     state::{Command, Reply, State},
@@ -56,7 +57,7 @@
 
     /// A new command as a host would propose it now.
     fn draw(&mut self, number: u64) -> Command {
-        match self.below(6) {
+        match self.below(7) {
             0 => self.change(number),
             1 => {
                 let version = self.below(COMMANDS);
@@ -85,6 +86,7 @@
                     since: self.without.index.saturating_sub(lag),
                 }))
             }
+            5 => Command::Usage(self.usage(number)),
             _ => Command::Place {
                 key: PlacementKey {
                     workspace: self.pick(&["v", "w"]),
@@ -95,6 +97,26 @@
         }
     }
 
+    /// What a new leader would propose next: its intent, the oldest confirmation, or the next window.
+    fn usage(&mut self, leadership: u64) -> Entry {
+        let host = self.pick(&["a", "b"]);
+        let caller = Caller { host, leadership };
+        let choice = self.below(3);
+        let ledger = &self.without.ledger;
+        match ledger.unconfirmed().keys().next() {
+            Some(_) if choice == 0 => Entry::Intend(caller),
+            Some(window) if choice == 1 => Entry::Confirm {
+                window: *window,
+                settled: true,
+            },
+            _ => Entry::Close {
+                window: ledger.closed().map_or(leadership, |closed| closed + 1),
+                counts: Counts::new(),
+                caller,
+            },
+        }
+    }
+
     fn change(&mut self, number: u64) -> Command {
         let text: Arc<str> = format!(r#"{{"per_second": {}, "burst": 5}}"#, number + 1).into();
         let expected = self.below(4);
