--- a/crates/hemlockcrank_core/src/metering/true_time.rs
+++ b/crates/hemlockcrank_core/src/metering/true_time.rs
@@ -83,10 +83,8 @@
             return;
         };
         let is_starting = !self.is_inherited && now < self.started_at + START_MS;
-        if wall.abs_diff(offset) <= FOLLOWED_MS || is_starting {
-            self.offset = Some(wall);
-            self.apart_since = None;
-        } else if now >= *self.apart_since.get_or_insert(now) + HOLD_MS {
+        let is_followed = wall.abs_diff(offset) <= FOLLOWED_MS || is_starting;
+        if is_followed || now >= *self.apart_since.get_or_insert(now) + HOLD_MS {
             self.offset = Some(wall);
             self.apart_since = None;
         }
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -3,6 +3,8 @@
 //! Unknown fields are refused. Every problem is reported as a [`SettingsError`], a `miette` report
 //! with a code, the location in the file and a hint. See docs/SETTINGS.md for the reference.
 
+mod usage;
+
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
@@ -15,6 +17,8 @@
 use strum::{Display, EnumString};
 use thiserror::Error;
 
+pub use usage::Usage;
+
 /// Minimum length of a secret, in bytes.
 const MIN_SECRET_BYTES: usize = 8;
 
@@ -174,26 +178,6 @@
     }
 }
 
-/// Reports of usage to the platform.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Usage {
-    /// Length of a window, in seconds.
-    pub window_s: u64,
-    /// Time after the end of a window in which its report is due, in seconds.
-    pub delay_s: u64,
-}
-
-impl Usage {
-    /// The same for decisions.
-    pub fn windows(self) -> Windows {
-        Windows {
-            length_ms: self.window_s.saturating_mul(1_000),
-            delay_ms: self.delay_s.saturating_mul(1_000),
-        }
-    }
-}
-
 /// Addresses for a platform that replaces PostgreSQL.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
