--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -24,6 +24,7 @@
 use crate::{
     clock::now_ms,
     event::Event,
+    metering::Counted,
     phase::{self, Phase},
 };
 
@@ -433,6 +434,7 @@
             values: Arc::clone(&self.values),
             watermark: self.watermark,
             deadline,
+            counted: Counted::default(),
         }
     }
 }
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -270,6 +270,7 @@
                 Ok(_) => not_run("not begun"),
             });
         }
+        proxy.count_operation(execution, sent_at);
         Ok(PinnedConnection {
             pooled,
             guard: choice.guard,
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -29,6 +29,7 @@
     read_retries: Counter<u64>,
     zone_reads: Counter<u64>,
     spillover_share: Gauge<u64>,
+    metered: Counter<u64>,
     waits: Histogram<f64>,
     forwarded: Counter<u64>,
     run_for_others: Counter<u64>,
@@ -65,6 +66,7 @@
             spillover_share: meter
                 .u64_gauge("hemlockcrank_spillover_share_percent")
                 .build(),
+            metered: meter.u64_counter("hemlockcrank_metered_operations").build(),
             waits: meter.f64_histogram("hemlockcrank_wait_seconds").build(),
             forwarded: meter.u64_counter("hemlockcrank_forwarded").build(),
             run_for_others: meter.u64_counter("hemlockcrank_run_for_others").build(),
@@ -148,6 +150,11 @@
         self.spillover_share.record(share.into(), &[service]);
     }
 
+    /// Counts an operation in the report of usage.
+    pub fn count_metered(&self) {
+        self.metered.add(1, &[]);
+    }
+
     /// Records the wait of a statement for tokens and a connection.
     pub fn record_wait(&self, seconds: f64) {
         self.waits.record(seconds, &[]);
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -3,18 +3,22 @@
 //! Unknown fields are refused. Every problem is reported as a [`SettingsError`], a `miette` report
 //! with a code, the location in the file and a hint. See docs/SETTINGS.md for the reference.
 
+mod usage;
+
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
     path::{Path, PathBuf},
 };
 
-use hemlockcrank_core::Name;
+use hemlockcrank_core::{Name, metering::Windows};
 use miette::{Diagnostic, NamedSource, SourceOffset, SourceSpan};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 use thiserror::Error;
 
+pub use usage::Usage;
+
 /// Minimum length of a secret, in bytes.
 const MIN_SECRET_BYTES: usize = 8;
 
@@ -191,6 +195,9 @@
     /// Address of the platform's service that changes primaries.
     #[serde(default)]
     pub promotions: Option<SocketAddr>,
+    /// Reports of usage to the address of `promotions`; without them nothing is counted.
+    #[serde(default)]
+    pub usage: Option<Usage>,
 }
 
 fn default_disk_losses() -> usize {
@@ -279,6 +286,12 @@
         Ok(settings)
     }
 
+    /// Windows of the reports of usage, on sites that have them.
+    pub fn windows(&self) -> Option<Windows> {
+        let usage = self.platform.as_ref()?.usage?;
+        Some(usage.windows())
+    }
+
     /// Peer address that other hosts should use.
     pub fn peer_address(&self) -> SocketAddr {
         self.advertise_peer.unwrap_or(self.listen.peer)
@@ -321,6 +334,14 @@
         if self.zone.is_empty() {
             return fail("zone", "is empty".into(), "name the availability zone");
         }
+        let usage = self.platform.as_ref().and_then(|platform| platform.usage);
+        if usage.is_some_and(|usage| usage.window_s == 0 || usage.delay_s == 0) {
+            return fail(
+                "platform.usage",
+                "has a window or a delay of 0".into(),
+                "use 1 or more",
+            );
+        }
         if !(1..=MAX_DISK_LOSSES).contains(&self.disk_losses) {
             return fail(
                 "disk_losses",
