--- a/crates/hemlockcrank/tests/shared/process.rs
+++ b/crates/hemlockcrank/tests/shared/process.rs
@@ -12,12 +12,33 @@
 /// Interval between two polls of the exit status.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Path of the daemon.
+const DAEMON: &str = env!("CARGO_BIN_EXE_hemlockcrank");
+
+/// The daemon with a limit on its open descriptors, which the shell sets before it becomes the daemon.
+fn limited_command(descriptors: u32) -> Command {
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
+    command.args(["-c", &script, DAEMON]);
+    command
+}
+
 /// A running daemon; killed when dropped.
 pub(crate) struct Process(Child);
 
 impl Process {
     /// Starts a host with its settings in JSON. Its log lines are appended to a file in `folder`.
     pub(crate) fn start(host: &str, settings: &str, folder: &Path) -> Self {
+        Self::start_limited(host, settings, folder, None)
+    }
+
+    /// The same with a limit on the process's open descriptors.
+    pub(crate) fn start_limited(
+        host: &str,
+        settings: &str,
+        folder: &Path,
+        descriptors: Option<u32>,
+    ) -> Self {
         std::fs::create_dir_all(folder).expect("folder");
         let file = folder.join(format!("{host}.json"));
         std::fs::write(&file, settings).expect("settings file");
@@ -26,7 +47,11 @@
             .append(true)
             .open(folder.join(format!("{host}.log")))
             .expect("log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_hemlockcrank"))
+        let mut command = match descriptors {
+            Some(limit) => limited_command(limit),
+            None => Command::new(DAEMON),
+        };
+        let child = command
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
@@ -37,6 +62,11 @@
         Self(child)
     }
 
+    /// Number of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     pub(crate) fn kill(&mut self) {
         let _ = self.0.kill();
         let _ = self.0.wait();
--- a/crates/hemlockcrank/tests/soak/main.rs
+++ b/crates/hemlockcrank/tests/soak/main.rs
@@ -40,6 +40,7 @@
 mod operator;
 mod orders;
 #[path = "../shared/process.rs"]
+#[expect(dead_code, reason = "other tests use the rest")]
 mod process;
 mod promotions;
 mod proxy;
