One budget for the bytes and connections of a host's clients

Cause: nothing bounded the bytes of all connections together, a message that stopped half-way kept its session for ever, and the ports took connections until no descriptor was left. Ruled out as the cause: reading ahead while a statement runs; a session reads no further then.

core::budget decides whose connection is closed: the largest and slowest when the limit is exceeded, what is incomplete for too long, and the longest idle one at a full port. It covers callers of both protocols, both HTTP interfaces and the port for peers. Buffers are given back after a large message.

Crowds and bounds are unchanged; the tests print what they measure.

--- a/crates/hemlockcrank/tests/crowds/main.rs
+++ b/crates/hemlockcrank/tests/crowds/main.rs
@@ -8,6 +8,7 @@
 //! The crowds are small, and so are the bounds. The tests run one at a time, see [`turn`].
 
 #![cfg(target_os = "linux")]
+#![expect(clippy::print_stdout, reason = "reports what the hosts use")]
 
 #[path = "../../../../platform/tests/fixture/caller.rs"]
 mod caller;
--- a/crates/hemlockcrank/tests/crowds/site.rs
+++ b/crates/hemlockcrank/tests/crowds/site.rs
@@ -204,6 +204,7 @@
 /// Checks that a process lives, and that its memory and its descriptors stay under the bounds.
 pub(crate) async fn check_usage(process: &Process, max_descriptors: usize) {
     let usage = Usage::settled(process).await;
+    println!("{usage:?}");
     assert!(usage.peak_kb <= MEMORY_BOUND_KB, "memory: {usage:?}");
     assert!(usage.descriptors <= max_descriptors, "{usage:?}");
 }
--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -18,6 +18,7 @@
 //!   whole and whose databases manage their own replication.
 //! - [`arrival`]: orders that have no number of their own.
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
+//! - [`budget`]: which connections are closed when clients use too much of a host.
 //! - [`sharing`]: connections that the hosts of an availability zone share.
 //! - [`statement`]: classifies a statement by its text.
 //!
@@ -31,6 +32,7 @@
 
 pub mod arrival;
 pub mod balance;
+pub mod budget;
 pub mod catalog;
 pub mod clock;
 pub mod connections;
--- a/crates/hemlockcrank_host/src/caller.rs
+++ b/crates/hemlockcrank_host/src/caller.rs
@@ -27,12 +27,15 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use hemlockcrank_core::budget::Port;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
+    time::sleep,
 };
 
 use crate::{
+    budget::ACCEPT_PAUSE,
     context::Context,
     event::Event,
     pg::{Severity, Stream, error_response},
@@ -46,8 +49,14 @@
     while !watch.borrow_and_update().draining {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((socket, _)) = accepted {
-                    sessions.spawn(accept(Arc::clone(&context), socket));
+                match accepted {
+                    Ok((socket, _)) => {
+                        sessions.spawn(accept(Arc::clone(&context), socket));
+                    }
+                    Err(error) => {
+                        context.budget.report_unaccepted(Port::Callers, &error);
+                        sleep(ACCEPT_PAUSE).await;
+                    }
                 }
             }
             Some(ended) = sessions.join_next() => emit_fault(&context, ended),
@@ -86,8 +95,9 @@
     let open = context.sessions.fetch_add(1, Ordering::Relaxed) + 1;
     let guard = SessionGuard(Arc::clone(&context));
     let limits = &context.settings.limits;
-    let mut stream = Stream::new(socket, limits.message_bytes);
-    if open > limits.callers {
+    let account = context.budget.open(Port::Callers);
+    let mut stream = Stream::with_account(socket, limits.message_bytes, account);
+    if open > context.budget.callers() {
         let failure = Failure::too_many_callers();
         let error = error_response(
             Severity::Fatal,
--- a/crates/hemlockcrank_host/src/caller/session.rs
+++ b/crates/hemlockcrank_host/src/caller/session.rs
@@ -146,15 +146,20 @@
     /// Reads the next unit; `None` when the caller disconnects or the proxy ends the session.
     async fn next_unit(&mut self) -> Result<Option<Unit>, PgError> {
         let mut frames = Vec::new();
+        self.stream.begin_unit();
         loop {
             let Some(frame) = self.next_frame(frames.is_empty()).await? else {
                 return Ok(None);
             };
             match frame.tag {
                 tag::TERMINATE => return Ok(None),
-                tag::QUERY => return Unit::simple(frame).map(Some),
+                tag::QUERY => {
+                    self.stream.begin_work()?;
+                    return Unit::simple(frame).map(Some);
+                }
                 tag::FLUSH => {}
                 tag::SYNC => {
+                    self.stream.begin_work()?;
                     frames.push(frame);
                     return Unit::extended(frames, &mut self.prepared).map(Some);
                 }
--- a/crates/hemlockcrank_host/src/contact.rs
+++ b/crates/hemlockcrank_host/src/contact.rs
@@ -12,7 +12,7 @@
 };
 
 use axum::{extract::connect_info::Connected, serve::IncomingStream};
-use hemlockcrank_core::{Name, arrival::Arrival, group::Groups};
+use hemlockcrank_core::{Name, arrival::Arrival, budget::Port, group::Groups};
 use tokio::{
     io,
     net::{TcpListener, TcpSocket, TcpStream},
@@ -20,9 +20,9 @@
 };
 
 use crate::{
+    budget::{Budget, Metered},
     clock::now_ms,
     control::Control,
-    event::{Event, Timeline},
 };
 
 /// Longest interval between two looks at the connections that wait.
@@ -94,7 +94,7 @@
     /// The same socket, which says at once whether a connection waits.
     look: std::net::TcpListener,
     control: Control,
-    timeline: Arc<Timeline>,
+    budget: Arc<Budget>,
     /// The last moment after which no connection was waiting.
     idle: Moment,
 }
@@ -105,11 +105,7 @@
     /// # Errors
     ///
     /// The system's error if the address cannot be bound.
-    pub fn bind(
-        address: SocketAddr,
-        control: Control,
-        timeline: Arc<Timeline>,
-    ) -> io::Result<Self> {
+    pub fn bind(address: SocketAddr, control: Control, budget: Arc<Budget>) -> io::Result<Self> {
         let socket = match address {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -122,7 +118,7 @@
             look,
             idle: Moment::now(&control),
             control,
-            timeline,
+            budget,
         })
     }
 
@@ -145,10 +141,10 @@
 }
 
 impl axum::serve::Listener for Listener {
-    type Io = TcpStream;
+    type Io = Metered;
     type Addr = Contact;
 
-    async fn accept(&mut self) -> (TcpStream, Contact) {
+    async fn accept(&mut self) -> (Metered, Contact) {
         loop {
             match self.next().await {
                 Ok(Some(stream)) => {
@@ -156,13 +152,12 @@
                         opened_after: self.idle.clone(),
                         member: Arc::default(),
                     };
-                    return (stream, contact);
+                    let account = Arc::new(self.budget.open(Port::Control));
+                    return (Metered::new(stream, account), contact);
                 }
                 Ok(None) => {}
                 Err(error) => {
-                    let what = "a connection to the control address cannot be accepted";
-                    self.timeline
-                        .emit(Event::Fault, &[("what", &what), ("error", &error)]);
+                    self.budget.report_unaccepted(Port::Control, &error);
                     sleep(ERROR_PAUSE).await;
                 }
             }
--- a/crates/hemlockcrank_host/src/context.rs
+++ b/crates/hemlockcrank_host/src/context.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    budget::Budget,
     control::Control,
     engine::Proxy,
     event::Timeline,
@@ -44,6 +45,8 @@
     pub limits: Arc<Limits>,
     /// Rate limits of a configuration that was submitted as a whole, divided among the hosts.
     pub portions: Arc<Portions>,
+    /// Bytes and connections of clients.
+    pub budget: Arc<Budget>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Sessions of a platform that replaces PostgreSQL, on hosts that serve them.
--- a/crates/hemlockcrank_host/src/daemon.rs
+++ b/crates/hemlockcrank_host/src/daemon.rs
@@ -10,13 +10,14 @@
     time::Duration,
 };
 
-use hemlockcrank_core::{membership::Host, state::Command};
+use hemlockcrank_core::{budget::Port, membership::Host, state::Command};
 use hemlockcrank_wire::{Frame, Request, Response};
 use miette::Diagnostic;
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::watch, time::sleep};
 
 use crate::{
+    budget::{Budget, Metered},
     caller,
     clock::wall_ms,
     context::Context,
@@ -164,6 +165,7 @@
             answer_limit: Duration::from_millis(settings.limits.silence_ms) * ANSWER_LIMIT_FACTOR,
         };
         let metrics = Arc::new(Metrics::new()?);
+        let budget = Budget::new(&settings, Arc::clone(&timeline), Arc::clone(&metrics));
         let (phase, phases) = watch::channel(Phase::default());
         let proxy = protocol
             .filter(|_| caller_listener.is_some())
@@ -176,6 +178,7 @@
                     primaries,
                     timeline: Arc::clone(&timeline),
                     metrics: Arc::clone(&metrics),
+                    budget: Arc::clone(&budget),
                     phase: phases.clone(),
                 };
                 Proxy::new(protocol, dependencies)
@@ -188,6 +191,7 @@
             upstreams: Upstreams::new(source),
             limits: Arc::clone(&limits),
             portions: Arc::clone(&portions),
+            budget: Arc::clone(&budget),
             metrics,
             proxy: proxy.clone(),
             phase: phases,
@@ -217,6 +221,7 @@
             (_, None) => {}
         }
         tasks.spawn("limits", limits.run());
+        tasks.spawn("budget", budget.run());
         let listen = &context.settings.listen;
         let fields: [(&str, &dyn std::fmt::Display); 3] = [
             (
@@ -350,7 +355,13 @@
 
 async fn serve_peers(context: Arc<Context>, listener: TcpListener) {
     let proof = context.peers.proof();
-    hemlockcrank_wire::serve(listener, proof, move |call| {
+    let budget = Arc::clone(&context.budget);
+    let gate = move |stream| {
+        let account = Arc::new(budget.open(Port::Peers));
+        let connection = Metered::new(stream, Arc::clone(&account));
+        (connection, move || account.trust())
+    };
+    hemlockcrank_wire::serve_gated(listener, proof, gate, move |call| {
         let context = Arc::clone(&context);
         async move {
             context.timeline.observe(call.stamp);
--- a/crates/hemlockcrank_host/src/engine/member_connection.rs
+++ b/crates/hemlockcrank_host/src/engine/member_connection.rs
@@ -57,6 +57,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Broken;
 
+/// Buffer that a connection keeps between two answers, in bytes.
+const KEPT_BYTES: usize = 16 * 1024;
+
 /// What a connection is opened for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Purpose {
@@ -318,6 +321,9 @@
                     let outcome = outcome.ok_or(Broken)?;
                     self.outstanding = self.outstanding.saturating_sub(1);
                     self.status = status;
+                    if self.input.is_empty() && self.input.capacity() > KEPT_BYTES {
+                        self.input = BytesMut::new();
+                    }
                     return Ok(Answer {
                         rows,
                         outcome,
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -17,6 +17,7 @@
 
 use super::{Primaries, Protocol, member_connection::Target, pool::Pool};
 use crate::{
+    budget::Budget,
     clock::now_ms,
     control::{Control, HostState},
     event::{Event, Timeline},
@@ -55,6 +56,7 @@
     pub(crate) primaries: Arc<Primaries>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) budget: Arc<Budget>,
     pub(crate) phase: watch::Receiver<Phase>,
 }
 
@@ -69,6 +71,7 @@
     pub(crate) primaries: Arc<Primaries>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) budget: Arc<Budget>,
     /// Number of open sessions.
     pub(crate) sessions: AtomicUsize,
     /// Steps of a graceful shutdown.
@@ -88,6 +91,7 @@
             primaries: dependencies.primaries,
             timeline: dependencies.timeline,
             metrics: dependencies.metrics,
+            budget: dependencies.budget,
             sessions: AtomicUsize::new(0),
             phase: dependencies.phase,
             pools: Mutex::default(),
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -21,6 +21,7 @@
     transaction::{Step, Transaction, ZONE_OUT},
 };
 use crate::{
+    budget::Account,
     clock::now_ms,
     event::Event,
     phase::{self, Phase},
@@ -30,6 +31,11 @@
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 /// Buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 1024;
+/// Length of a message after which its buffer is given back, in bytes.
+const KEPT_BYTES: usize = 16 * 1024;
+/// Copies of a message while its statement runs: the statement, and what is sent to the member, in a
+/// buffer that grows by doubling.
+const WORK_FACTOR: usize = 3;
 /// Time limit for the first message.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit for a write to a caller that does not read.
@@ -54,12 +60,15 @@
     Malformed,
     /// The caller was refused.
     Refused,
+    /// Clients use too much of this host, this one most.
+    Closed,
 }
 
 /// A caller's session.
 pub(crate) struct Session {
     proxy: Arc<Proxy>,
     stream: TcpStream,
+    account: Account,
     input: BytesMut,
     output: BytesMut,
     database: Name,
@@ -79,12 +88,13 @@
 }
 
 impl Session {
-    pub(crate) fn new(proxy: Arc<Proxy>, stream: TcpStream) -> Self {
+    pub(crate) fn new(proxy: Arc<Proxy>, stream: TcpStream, account: Account) -> Self {
         let phase = proxy.phase.clone();
         let changes = proxy.control.watch_changes();
         Self {
             proxy,
             stream,
+            account,
             input: BytesMut::new(),
             output: BytesMut::new(),
             database: "".into(),
@@ -106,7 +116,7 @@
             let proxy = &self.proxy;
             proxy
                 .timeline
-                .emit(Event::CallerMalformed, &[("caller", &caller)]);
+                .emit_bounded(Event::CallerMalformed, &[("caller", &caller)]);
         }
         let _ = self.stream.shutdown().await;
     }
@@ -165,7 +175,7 @@
             }
             let due = rollback.map(|(at, _)| Duration::from_millis(at.saturating_sub(now_ms())));
             tokio::select! {
-                read = read_more(&mut self.stream, &mut self.input) => {
+                read = read_more(&mut self.stream, &mut self.input, &self.account) => {
                     read?;
                     idle_since = now_ms();
                 }
@@ -204,19 +214,35 @@
             if let Some(message) = self.parse()? {
                 return Ok(message);
             }
-            read_more(&mut self.stream, &mut self.input).await?;
+            read_more(&mut self.stream, &mut self.input, &self.account).await?;
         }
     }
 
     fn parse(&mut self) -> Result<Option<CallerMessage>, End> {
+        let received = self.input.len();
         let message = (self.proxy.protocol.read_caller)(&mut self.input);
         let message = message.map_err(|_| End::Malformed)?;
-        if message.is_none() && self.input.len() > MAX_MESSAGE_BYTES {
+        if message.is_some() {
+            self.begin_work(received - self.input.len())?;
+        } else if self.input.len() > MAX_MESSAGE_BYTES {
             return Err(End::Malformed);
+        } else {
+            let is_empty = self.input.is_empty();
+            self.account
+                .hold(if is_empty { 0 } else { self.input.capacity() });
         }
         Ok(message)
     }
 
+    /// Counts the work for a message of this length, and gives back the buffer that it came in.
+    fn begin_work(&mut self, length: usize) -> Result<(), End> {
+        if length > KEPT_BYTES {
+            self.input = BytesMut::from(&self.input[..]);
+        }
+        let bytes = length * WORK_FACTOR + self.input.len();
+        self.account.begin_work(bytes).map_err(|_| End::Closed)
+    }
+
     // ---------------------------------------------------------------------------------------------
     // Statements
 
@@ -436,9 +462,19 @@
     }
 }
 
-async fn read_more(stream: &mut TcpStream, input: &mut BytesMut) -> Result<(), End> {
+async fn read_more(
+    stream: &mut TcpStream,
+    input: &mut BytesMut,
+    account: &Account,
+) -> Result<(), End> {
+    account.wait_for_room(input.len()).await;
     input.reserve(READ_BYTES);
-    match stream.read_buf(input).await {
+    let read = tokio::select! {
+        biased;
+        () = account.closed() => return Err(End::Closed),
+        read = stream.read_buf(input) => read,
+    };
+    match read {
         Ok(0) | Err(_) => Err(End::Disconnected),
         Ok(_) => Ok(()),
     }
--- a/crates/hemlockcrank_host/src/engine/session/output.rs
+++ b/crates/hemlockcrank_host/src/engine/session/output.rs
@@ -1,9 +1,10 @@
 //! Replies of a session to its caller.
 
+use bytes::BytesMut;
 use hemlockcrank_core::Name;
-use tokio::{io::AsyncWriteExt, time::timeout};
+use tokio::{io::AsyncWriteExt, time::sleep};
 
-use super::{End, Session, WRITE_TIMEOUT};
+use super::{End, KEPT_BYTES, Session, WRITE_TIMEOUT};
 use crate::{
     clock::now_ms,
     engine::{Code, Reply, Status, admission::Refusal, member_connection::Answer},
@@ -79,11 +80,25 @@
     }
 
     pub(super) async fn flush(&mut self) -> Result<(), End> {
-        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&self.output)).await;
-        self.output.clear();
-        match written {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(End::Disconnected),
+        self.account.settle();
+        let writes = self.stream.write_all(&self.output);
+        let unread = async {
+            self.account.hold(self.output.capacity());
+            tokio::select! {
+                () = self.account.closed() => End::Closed,
+                () = sleep(WRITE_TIMEOUT) => End::Disconnected,
+            }
+        };
+        let written = tokio::select! {
+            biased;
+            written = writes => written.map_err(|_| End::Disconnected),
+            end = unread => Err(end),
+        };
+        if self.output.len() > KEPT_BYTES {
+            self.output = BytesMut::new();
         }
+        self.output.clear();
+        self.account.settle();
+        written
     }
 }
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -5,7 +5,7 @@
 //! for `hemlockctl timeline`.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     fmt::Display,
     sync::{Mutex, PoisonError},
 };
@@ -17,7 +17,7 @@
 use hemlockcrank_wire::EventRecord;
 use strum::{EnumIter, IntoStaticStr};
 
-use crate::clock::wall_ms;
+use crate::clock::{now_ms, wall_ms};
 
 /// Maximum number of events kept for the timeline.
 const MAX_RECORDS: usize = 4_096;
@@ -101,6 +101,10 @@
     KeyWithdrawn = 401,
     /// A caller sent a malformed message.
     CallerMalformed = 402,
+    /// The connection of a client that used too much was closed.
+    ClientClosed = 403,
+    /// A connection of a client could not be accepted.
+    ClientUnaccepted = 404,
     /// A statement was refused and not run.
     NotRun = 410,
     /// The outcome of a write is unknown.
@@ -131,9 +135,21 @@
     }
 }
 
+/// Maximum number of events of one kind that clients can cause in a second.
+const MAX_BOUNDED_PER_SECOND: u32 = 10;
+
+/// Events of one kind that clients have caused in the present second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Volume {
+    second: u64,
+    emitted: u32,
+    left_out: u64,
+}
+
 #[derive(Debug, Default)]
 struct Buffer {
     clock: Clock,
+    volumes: BTreeMap<Event, Volume>,
     records: VecDeque<EventRecord>,
 }
 
@@ -183,6 +199,37 @@
         });
     }
 
+    /// Like [`Self::emit`], for events that clients can cause in any number: at most 10 of a kind in a
+    /// second. The next one says how many were left out.
+    pub fn emit_bounded(&self, event: Event, fields: &[(&str, &dyn Display)]) {
+        let Some(left_out) = self.admit(event) else {
+            return;
+        };
+        if left_out == 0 {
+            return self.emit(event, fields);
+        }
+        let mut fields = fields.to_vec();
+        fields.push(("left_out", &left_out));
+        self.emit(event, &fields);
+    }
+
+    /// Number of events left out before this one; `None` if this one is left out too.
+    fn admit(&self, event: Event) -> Option<u64> {
+        let second = now_ms() / 1_000;
+        let mut buffer = self.lock();
+        let volume = buffer.volumes.entry(event).or_default();
+        if volume.second != second {
+            volume.second = second;
+            volume.emitted = 0;
+        }
+        if volume.emitted == MAX_BOUNDED_PER_SECOND {
+            volume.left_out += 1;
+            return None;
+        }
+        volume.emitted += 1;
+        Some(std::mem::take(&mut volume.left_out))
+    }
+
     /// Returns a stamp for an outgoing frame.
     pub fn stamp(&self) -> Stamp {
         self.lock().clock.tick(wall_ms())
--- a/crates/hemlockcrank_host/src/http.rs
+++ b/crates/hemlockcrank_host/src/http.rs
@@ -26,9 +26,10 @@
     extract::DefaultBodyLimit,
     routing::{get, post},
 };
+use hemlockcrank_core::budget::Port;
 use tokio::net::TcpListener;
 
-use crate::context::Context;
+use crate::{budget::Listener, context::Context};
 
 pub use change::ChangeRequest;
 pub use cluster::{
@@ -41,6 +42,7 @@
 
 /// Serves requests until dropped.
 pub(crate) async fn serve(context: Arc<Context>, listener: TcpListener) {
+    let listener = Listener::new(listener, Arc::clone(&context.budget), Port::Operators);
     let router = Router::new()
         .route("/v1/changes", post(change::change))
         .route("/v1/records", get(cluster::records))
--- a/crates/hemlockcrank_host/src/lib.rs
+++ b/crates/hemlockcrank_host/src/lib.rs
@@ -18,6 +18,7 @@
 //! # }
 //! ```
 
+pub mod budget;
 mod caller;
 pub mod clock;
 pub mod contact;
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider as _},
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -24,6 +24,8 @@
     unknown_outcomes: Counter<u64>,
     read_retries: Counter<u64>,
     waits: Histogram<f64>,
+    clients_closed: Counter<u64>,
+    client_bytes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -47,6 +49,8 @@
             unknown_outcomes: meter.u64_counter("hemlockcrank_unknown_outcomes").build(),
             read_retries: meter.u64_counter("hemlockcrank_read_retries").build(),
             waits: meter.f64_histogram("hemlockcrank_wait_seconds").build(),
+            clients_closed: meter.u64_counter("hemlockcrank_clients_closed").build(),
+            client_bytes: meter.u64_gauge("hemlockcrank_client_bytes").build(),
             registry,
             _provider: provider,
         })
@@ -83,6 +87,17 @@
         self.waits.record(seconds, &[]);
     }
 
+    /// Counts a client whose connection was closed because it used too much.
+    pub fn count_client_closed(&self, reason: &'static str) {
+        self.clients_closed
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records the bytes that all clients together hold.
+    pub fn record_client_bytes(&self, bytes: u64) {
+        self.client_bytes.record(bytes, &[]);
+    }
+
     /// Returns all values in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new()
--- a/crates/hemlockcrank_host/src/pg/frame.rs
+++ b/crates/hemlockcrank_host/src/pg/frame.rs
@@ -91,6 +91,9 @@
     /// A message's content is malformed.
     #[error("malformed message: {0}")]
     Malformed(#[from] PgWireError),
+    /// The clients of this host use too much of it, this one most.
+    #[error("connection was closed because clients use too much of this host")]
+    Closed,
     /// A message of this type is not allowed at this point.
     #[error("unexpected message of type {0:#04x}")]
     Unexpected(u8),
--- a/crates/hemlockcrank_host/src/pg/stream.rs
+++ b/crates/hemlockcrank_host/src/pg/stream.rs
@@ -8,12 +8,19 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    time::timeout,
 };
 
 use super::{Frame, PgError, frame::HEADER_BYTES};
+use crate::budget::Account;
 
 /// Capacity that is reserved for reading, in bytes.
 const READ_BYTES: usize = 8 * 1024;
+/// Output buffer that a connection keeps, in bytes.
+const KEPT_BYTES: usize = 16 * 1024;
+/// Copies of a unit of work while it runs: its messages, their decoded form, and what is sent to the
+/// database.
+const WORK_FACTOR: usize = 3;
 /// Longest startup packet, in bytes.
 const MAX_STARTUP_BYTES: usize = 10_000;
 /// Answer that refuses encryption, which the platform's load balancer provides.
@@ -36,6 +43,10 @@
     output: BytesMut,
     /// Longest allowed message, in bytes.
     limit: usize,
+    /// Account of a caller; connections to databases have none.
+    account: Option<Account>,
+    /// Bytes of the messages that were taken since the present unit of work began.
+    taken: usize,
 }
 
 impl Stream {
@@ -47,9 +58,41 @@
             input: BytesMut::with_capacity(READ_BYTES),
             output: BytesMut::new(),
             limit,
+            account: None,
+            taken: 0,
         }
     }
 
+    /// The same for a caller, whose unread and unanswered bytes are counted in its account.
+    pub(crate) fn with_account(socket: TcpStream, limit: usize, account: Account) -> Self {
+        Self {
+            account: Some(account),
+            ..Self::new(socket, limit)
+        }
+    }
+
+    /// Begins to read a unit of work: the answer to the last one is done.
+    pub(crate) fn begin_unit(&mut self) {
+        self.taken = 0;
+        if let Some(account) = &self.account {
+            account.settle();
+            account.hold(self.input.len());
+        }
+    }
+
+    /// The unit of work is complete and runs.
+    ///
+    /// # Errors
+    ///
+    /// [`PgError::Closed`] if the clients of this host use too much of it.
+    pub(crate) fn begin_work(&mut self) -> Result<(), PgError> {
+        let Some(account) = &self.account else {
+            return Ok(());
+        };
+        let bytes = self.taken * WORK_FACTOR + self.input.len();
+        account.begin_work(bytes).map_err(|_| PgError::Closed)
+    }
+
     /// The socket, for its addresses.
     pub fn socket(&self) -> &TcpStream {
         &self.socket
@@ -147,19 +190,33 @@
             });
         }
         if self.input.len() < length {
-            self.input.reserve(length - self.input.len());
             return Ok(None);
         }
         let bytes = self.input.split_to(length).freeze();
+        self.taken += length;
         Ok(Some(Frame { tag, bytes }))
     }
 
     /// Reads from the socket; `false` if the other side closed the connection between messages.
     async fn fill(&mut self) -> Result<bool, PgError> {
+        if let Some(account) = &self.account {
+            account.wait_for_room(self.input.len() + self.taken).await;
+        }
         if self.input.capacity() - self.input.len() < READ_BYTES / 4 {
             self.input.reserve(READ_BYTES);
         }
-        let bytes_read = self.socket.read_buf(&mut self.input).await?;
+        let reads = self.socket.read_buf(&mut self.input);
+        let bytes_read = match &self.account {
+            None => reads.await?,
+            Some(account) => tokio::select! {
+                biased;
+                () = account.closed() => return Err(PgError::Closed),
+                read = reads => read?,
+            },
+        };
+        if let Some(account) = &self.account {
+            account.hold(self.input.len() + self.taken);
+        }
         if bytes_read == 0 && !self.input.is_empty() {
             return Err(PgError::Truncated);
         }
@@ -200,7 +257,13 @@
     /// [`PgError::Io`] if the socket fails; part of the output may have been sent.
     pub async fn flush(&mut self) -> Result<(), PgError> {
         if !self.output.is_empty() {
-            self.socket.write_all(&self.output).await?;
+            match &self.account {
+                None => self.socket.write_all(&self.output).await?,
+                Some(account) => write_to_caller(&mut self.socket, &self.output, account).await?,
+            }
+            if self.output.len() > KEPT_BYTES {
+                self.output = BytesMut::new();
+            }
             self.output.clear();
         }
         Ok(())
@@ -212,3 +275,22 @@
         let _ = self.socket.shutdown().await;
     }
 }
+
+/// Writes all bytes, with a time limit for each part that the caller takes.
+async fn write_to_caller(
+    socket: &mut TcpStream,
+    mut bytes: &[u8],
+    account: &Account,
+) -> Result<(), PgError> {
+    while !bytes.is_empty() {
+        let limit = account.budget().message_limit();
+        let written = tokio::select! {
+            biased;
+            written = timeout(limit, socket.write(bytes)) => written,
+            () = account.closed() => return Err(PgError::Closed),
+        };
+        let written = written.map_err(|_| PgError::Closed)??;
+        bytes = &bytes[written..];
+    }
+    Ok(())
+}
--- a/crates/hemlockcrank_host/src/settings.rs
+++ b/crates/hemlockcrank_host/src/settings.rs
@@ -139,6 +139,11 @@
     pub message_bytes: usize,
     /// Maximum number of caller connections.
     pub callers: usize,
+    /// Maximum of what all clients together hold in incomplete messages, queued work and unread
+    /// answers, in bytes.
+    pub client_bytes: u64,
+    /// Longest time for completing a message that has begun, in milliseconds.
+    pub message_ms: u64,
     /// Longest wait of a statement for a connection and for rate-limit tokens, in milliseconds.
     pub wait_ms: u64,
     /// Longest wait for a majority to acknowledge a commit, in milliseconds.
@@ -163,6 +168,10 @@
         Self {
             message_bytes: 16 * 1024 * 1024,
             callers: 10_000,
+            // 16 KiB for each of 3,000 sessions, and less than a third of the memory of a host with 160 MB.
+            client_bytes: 48 * 1024 * 1024,
+            // Seven times what 1 MiB takes at 2 Mbit/s.
+            message_ms: 30_000,
             wait_ms: 3_000,
             acknowledge_ms: 10_000,
             drain_ms: 30_000,
@@ -369,6 +378,13 @@
                 return fail(field, "is too short".into(), "use 8 bytes or more");
             }
         }
+        if self.limits.client_bytes == 0 || self.limits.message_ms == 0 {
+            return fail(
+                "limits",
+                "a limit of 0 refuses every message".into(),
+                "use 1 or more",
+            );
+        }
         if self.limits.wait_ms == 0 || self.limits.acknowledge_ms == 0 {
             return fail(
                 "limits",
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -22,7 +22,7 @@
 };
 pub use client::{CallError, Client};
 pub use codec::{CodecError, decode, decode_state, encode};
-pub use server::{Incoming, serve};
+pub use server::{Incoming, serve, serve_gated};
 
 /// Version of the protocol between hosts.
 pub const VERSION: u32 = 6;
--- a/crates/hemlockcrank_wire/src/server.rs
+++ b/crates/hemlockcrank_wire/src/server.rs
@@ -9,8 +9,9 @@
 use subtle::ConstantTimeEq;
 use thiserror::Error;
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -21,6 +22,10 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of concurrent calls on one peer connection.
 const MAX_STREAMS: u32 = 10_000;
+/// Maximum size of a request's headers, in bytes; those of a call have less than 1 KB.
+const MAX_HEADER_BYTES: u32 = 16 * 1024;
+/// Pause after a connection could not be accepted, for want of descriptors as a rule.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Flow-control window of each stream and of the connection, in bytes.
 const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
@@ -46,24 +51,43 @@
 where
     F: Fn(Incoming) -> R + Send + Sync + 'static,
     R: Future<Output = Frame<Response>> + Send + 'static,
+{
+    serve_gated(listener, proof, |stream| (stream, || ()), handle).await;
+}
+
+/// The same, with connections that `gate` wraps. What it returns with each is called once the client has
+/// proved that it knows the peer secret.
+pub async fn serve_gated<G, S, T, F, R>(listener: TcpListener, proof: Name, gate: G, handle: F)
+where
+    G: Fn(TcpStream) -> (S, T) + Send,
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    T: Fn() + Send + Sync + 'static,
+    F: Fn(Incoming) -> R + Send + Sync + 'static,
+    R: Future<Output = Frame<Response>> + Send + 'static,
 {
     let handle = Arc::new(handle);
     let mut tasks = tokio::task::JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    let _ = stream.set_nodelay(true);
-                    tasks.spawn(serve_peer(stream, proof.clone(), Arc::clone(&handle)));
-                }
+                let Ok((stream, _)) = accepted else {
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
+                let _ = stream.set_nodelay(true);
+                let (stream, trust) = gate(stream);
+                let trust = Arc::new(trust);
+                tasks.spawn(serve_peer(stream, proof.clone(), trust, Arc::clone(&handle)));
             }
             Some(_) = tasks.join_next() => {}
         }
     }
 }
 
-async fn serve_peer<F, R>(stream: TcpStream, proof: Name, handle: Arc<F>)
+async fn serve_peer<S, T, F, R>(stream: S, proof: Name, trust: Arc<T>, handle: Arc<F>)
 where
+    S: AsyncRead + AsyncWrite + Unpin,
+    T: Fn() + Send + Sync + 'static,
     F: Fn(Incoming) -> R + Send + Sync + 'static,
     R: Future<Output = Frame<Response>> + Send + 'static,
 {
@@ -71,8 +95,9 @@
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_BYTES)
         .handshake(stream);
-    let Ok(mut connection) = handshake.await else {
+    let Ok(Ok(mut connection)) = timeout(READ_TIMEOUT, handshake).await else {
         return;
     };
     let mut calls = tokio::task::JoinSet::new();
@@ -82,23 +107,26 @@
                 let Some(Ok((request, reply))) = next else {
                     return;
                 };
-                calls.spawn(answer(request, reply, proof.clone(), Arc::clone(&handle)));
+                let (proof, trust) = (proof.clone(), Arc::clone(&trust));
+                calls.spawn(answer(request, reply, proof, trust, Arc::clone(&handle)));
             }
             Some(_) = calls.join_next() => {}
         }
     }
 }
 
-async fn answer<F, R>(
+async fn answer<T, F, R>(
     request: HttpRequest<RecvStream>,
     mut reply: SendResponse<Bytes>,
     proof: Name,
+    trust: Arc<T>,
     handle: Arc<F>,
 ) where
+    T: Fn(),
     F: Fn(Incoming) -> R,
     R: Future<Output = Frame<Response>>,
 {
-    let accepted = accept_call(request, &proof).await;
+    let accepted = accept_call(request, &proof, &*trust).await;
     let body = match accepted {
         Ok(call) => encode(&handle(call).await).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR),
         Err(status) => Err(status),
@@ -112,10 +140,14 @@
 }
 
 /// Checks the protocol version and the proof, then reads the call.
-async fn accept_call(
+async fn accept_call<T>(
     request: HttpRequest<RecvStream>,
     proof: &str,
-) -> Result<Incoming, StatusCode> {
+    trust: &T,
+) -> Result<Incoming, StatusCode>
+where
+    T: Fn(),
+{
     let header = |name: &str| request.headers().get(name).map(http::HeaderValue::as_bytes);
     if header(VERSION_HEADER) != Some(VERSION.to_string().as_bytes()) {
         return Err(StatusCode::UPGRADE_REQUIRED);
@@ -124,6 +156,7 @@
     if !bool::from(received_proof.ct_eq(proof.as_bytes())) {
         return Err(StatusCode::FORBIDDEN);
     }
+    trust();
     let bytes = read_body(request.into_body(), READ_TIMEOUT)
         .await
         .map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
