--- a/crates/hemlockcrank/tests/crowds/sessions.rs
+++ b/crates/hemlockcrank/tests/crowds/sessions.rs
@@ -93,6 +93,25 @@
     check_beside(Script::new(START, message.into())).await;
 }
 
+/// Guards against session values of legal size and number that together outgrow the host's memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_values_that_sessions_keep() {
+    const SESSIONS: usize = 10;
+    const VALUES: usize = 20;
+    let _turn = turn().await;
+    let site = Site::start(Limits::default()).await;
+    let value = "v".repeat(LARGE);
+    let set = |number: usize| format!("QUERY 5c0e SET name{number} {value}\r\n");
+    let message: String = (0..VALUES).map(set).collect();
+
+    let crowd = Crowd::run(site.callers, SESSIONS, Script::new(START, message.into())).await;
+
+    assert_eq!(crowd.len(), SESSIONS);
+    site.check_serves().await;
+    check_usage(&site.entry_host, MAX_DESCRIPTORS).await;
+    site.check_serves().await;
+}
+
 /// Guards against sessions that stop in the middle of a message and are kept for ever.
 #[tokio::test(flavor = "multi_thread")]
 async fn senders_that_stop_half_way() {
