What sessions keep counts in the budget

Cause: session values and prepared statements were counted by number only, and 200 of 1 MB each were kept. The account now has the bytes that a session keeps; they count when the largest are chosen, and no time limit applies to them.

--- a/crates/hemlockcrank_core/src/budget.rs
+++ b/crates/hemlockcrank_core/src/budget.rs
@@ -98,6 +98,8 @@
 struct Account {
     port: Port,
     bytes: u64,
+    /// Bytes that the client's session keeps between messages.
+    kept: u64,
     /// When the present message began, or the last one was completed.
     since: u64,
     is_working: bool,
@@ -105,6 +107,10 @@
 }
 
 impl Account {
+    fn total(&self) -> u64 {
+        self.bytes + self.kept
+    }
+
     fn age_ms(&self, now: u64) -> u64 {
         now.saturating_sub(self.since)
     }
@@ -113,7 +119,7 @@
     /// so that an old account with few bytes does not outweigh a large one.
     fn weight(&self, now: u64, message_ms: u64) -> u64 {
         let age_ms = self.age_ms(now).min(message_ms) + AGE_OFFSET_MS;
-        self.bytes.saturating_mul(age_ms)
+        self.total().saturating_mul(age_ms)
     }
 }
 
@@ -157,6 +163,7 @@
         let account = Account {
             port,
             bytes: 0,
+            kept: 0,
             since: now,
             is_working: false,
             is_trusted: false,
@@ -180,6 +187,17 @@
         self.make_room(now)
     }
 
+    /// Sets the bytes that a session keeps between messages; returns the connections to close, which may
+    /// include this one.
+    pub fn keep(&mut self, now: u64, id: Id, kept: u64) -> Vec<Closing> {
+        let Some(account) = self.accounts.get_mut(&id) else {
+            return Vec::new();
+        };
+        self.held = self.held - account.kept + kept;
+        account.kept = kept;
+        self.make_room(now)
+    }
+
     /// Begins the work for a message that is complete; `bytes` is what it holds until it ends. Returns
     /// the connections to close in favour of it.
     ///
@@ -193,9 +211,10 @@
         account.bytes = bytes;
         account.since = now;
         account.is_working = true;
+        let own = account.total();
         let closed = self.make_room(now);
         // An account alone may exceed the limit, so that a low limit does not refuse every message.
-        if self.held > self.limits.bytes && self.held > bytes {
+        if self.held > self.limits.bytes && self.held > own {
             if let Some(account) = self.accounts.get_mut(&id) {
                 account.is_working = false;
             }
@@ -205,30 +224,32 @@
         Ok(closed)
     }
 
-    /// A message was completed or an answer taken, and no work is in progress: the account holds
-    /// nothing.
-    pub fn settle(&mut self, now: u64, id: Id) {
+    /// A message was completed or an answer taken, and no work is in progress: the account holds only
+    /// what its session keeps. Returns the connections to close, which may include this one.
+    pub fn settle(&mut self, now: u64, id: Id) -> Vec<Closing> {
         if let Some(account) = self.accounts.get_mut(&id) {
             self.held -= account.bytes;
             account.bytes = 0;
             account.since = now;
             account.is_working = false;
         }
+        self.make_room(now)
     }
 
     /// Exempts a connection that has proved to be one of our own hosts.
     pub fn trust(&mut self, id: Id) {
         if let Some(account) = self.accounts.get_mut(&id) {
             account.is_trusted = true;
-            self.held -= account.bytes;
+            self.held -= account.total();
             account.bytes = 0;
+            account.kept = 0;
         }
     }
 
     /// Removes an account.
     pub fn close(&mut self, id: Id) {
         if let Some(account) = self.accounts.remove(&id) {
-            self.held -= account.bytes;
+            self.held -= account.total();
         }
         if let Some(bytes) = self.closing.remove(&id) {
             self.closing_bytes -= bytes;
@@ -259,7 +280,7 @@
             let candidates = self
                 .accounts
                 .iter()
-                .filter(|(_, account)| account.bytes > 0 && !account.is_working);
+                .filter(|(_, account)| account.total() > 0 && !account.is_working);
             let heaviest = candidates.max_by_key(|(_, account)| account.weight(now, message_ms));
             let heaviest = heaviest.map(|(id, _)| *id);
             let Some(closing) = heaviest.and_then(|id| self.evict(now, id, Reason::Bytes)) else {
@@ -286,13 +307,14 @@
 
     fn evict(&mut self, now: u64, id: Id, reason: Reason) -> Option<Closing> {
         let account = self.accounts.remove(&id)?;
-        self.held -= account.bytes;
-        self.closing.insert(id, account.bytes);
-        self.closing_bytes += account.bytes;
+        let bytes = account.total();
+        self.held -= bytes;
+        self.closing.insert(id, bytes);
+        self.closing_bytes += bytes;
         Some(Closing {
             id,
             port: account.port,
-            bytes: account.bytes,
+            bytes,
             age_ms: account.age_ms(now),
             reason,
         })
--- a/crates/hemlockcrank_core/tests/budget.rs
+++ b/crates/hemlockcrank_core/tests/budget.rs
@@ -191,3 +191,18 @@
     budget.close(accounts[0]);
     assert!(!budget.must_wait());
 }
+
+/// Guards against values and prepared statements that sessions keep, and against a time limit on them.
+#[test]
+fn what_a_session_keeps_counts_but_is_not_overdue() {
+    let (mut budget, accounts) = budget_with(2);
+    budget.keep(0, accounts[0], 600 * KB);
+    budget.hold(0, accounts[0], 1);
+    budget.settle(0, accounts[0]);
+
+    assert_eq!(budget.held(), 600 * KB);
+    assert!(budget.overdue(86_400_000).is_empty());
+    let closed = budget.keep(86_400_000, accounts[1], 500 * KB);
+
+    assert_eq!(ids(&closed), [accounts[0]]);
+}
--- a/crates/hemlockcrank_host/src/budget/account.rs
+++ b/crates/hemlockcrank_host/src/budget/account.rs
@@ -16,7 +16,7 @@
 use super::Budget;
 use crate::{clock::now_ms, sync::lock};
 
-/// Work of fewer bytes is not counted, in bytes.
+/// Work, and what a session keeps, of fewer bytes is not counted, in bytes.
 const UNCOUNTED_BYTES: u64 = 4_096;
 
 /// Length up to which messages are always read, in bytes.
@@ -44,6 +44,8 @@
     signal: Arc<Signal>,
     /// Bytes as the budget knows them.
     held: AtomicU64,
+    /// Bytes that the session keeps, as the budget knows them.
+    kept: AtomicU64,
 }
 
 impl Account {
@@ -53,6 +55,7 @@
             id,
             signal,
             held: AtomicU64::new(0),
+            kept: AtomicU64::new(0),
         }
     }
 
@@ -90,10 +93,20 @@
         begun
     }
 
+    /// Sets the bytes that the session keeps between messages. It may close this connection.
+    pub(crate) fn keep(&self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let counted = if bytes < UNCOUNTED_BYTES { 0 } else { bytes };
+        if self.kept.swap(counted, Ordering::Relaxed) != counted {
+            self.budget
+                .apply(|budget| budget.keep(now_ms(), self.id, counted));
+        }
+    }
+
     /// The message or the answer is done.
     pub(crate) fn settle(&self) {
         if self.held.swap(0, Ordering::Relaxed) != 0 {
-            lock(&self.budget.state).budget.settle(now_ms(), self.id);
+            self.budget.apply(|budget| budget.settle(now_ms(), self.id));
         }
     }
 
--- a/crates/hemlockcrank_host/src/caller/session.rs
+++ b/crates/hemlockcrank_host/src/caller/session.rs
@@ -146,6 +146,11 @@
     /// Reads the next unit; `None` when the caller disconnects or the proxy ends the session.
     async fn next_unit(&mut self) -> Result<Option<Unit>, PgError> {
         let mut frames = Vec::new();
+        let statements = self.prepared.values();
+        let statements =
+            statements.map(|prepared| prepared.frame.bytes.len() + prepared.text.len());
+        let settings = self.database_settings.values().map(String::len);
+        self.stream.count_kept(statements.chain(settings).sum());
         self.stream.begin_unit();
         loop {
             let Some(frame) = self.next_frame(frames.is_empty()).await? else {
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -317,6 +317,7 @@
                 let values = Arc::make_mut(&mut self.values);
                 if values.len() < MAX_NAMES || values.contains_key(&name) {
                     values.insert(name, value);
+                    self.count_kept();
                     self.reply_done();
                 } else {
                     self.reply_failed(Code::Malformed, "too many values");
@@ -324,7 +325,10 @@
             }
             Statement::Prepare { name, statement } => self.prepare(name, statement),
             Statement::Deallocate { name } => match self.prepared.remove(&name) {
-                Some(_) => self.reply_done(),
+                Some(_) => {
+                    self.count_kept();
+                    self.reply_done();
+                }
                 None => self.reply_failed(Code::NoStatement, "no such prepared statement"),
             },
             Statement::Execute { name, arguments } => match self.prepared.get(&name).cloned() {
@@ -351,9 +355,17 @@
             return;
         }
         self.prepared.insert(name, statement);
+        self.count_kept();
         self.reply_done();
     }
 
+    /// Counts the session values and the prepared statements.
+    fn count_kept(&self) {
+        let values = self.values.values().map(|value| value.len());
+        let statements = self.prepared.values().map(|prepared| prepared.text.len());
+        self.account.keep(values.chain(statements).sum());
+    }
+
     async fn begin(&mut self, id: &Name, read: bool) {
         if self.transaction.is_some() {
             self.reply_failed(Code::Malformed, "a transaction is open");
--- a/crates/hemlockcrank_host/src/pg/stream.rs
+++ b/crates/hemlockcrank_host/src/pg/stream.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Counts what the session keeps between units of work.
+    pub(crate) fn count_kept(&self, bytes: usize) {
+        if let Some(account) = &self.account {
+            account.keep(bytes);
+        }
+    }
+
     /// The unit of work is complete and runs.
     ///
     /// # Errors
