--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`arrival`]: orders that have no number of their own.
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
 //! - [`dispatch`]: which statements run at a member, wait, or are refused.
+//! - [`budget`]: which connections are closed when clients use too much of a host.
 //! - [`sharing`]: connections that the hosts of an availability zone share.
 //! - [`spillover`]: the share of the reads that leaves an availability zone.
 //! - [`statement`]: classifies a statement by its text.
@@ -34,6 +35,7 @@
 
 pub mod arrival;
 pub mod balance;
+pub mod budget;
 pub mod catalog;
 pub mod clock;
 pub mod connections;
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -19,6 +19,7 @@
     member_connection::Target, pool::Pool, sharing::Sharing, spillover::Spillovers,
 };
 use crate::{
+    budget::Budget,
     clock::now_ms,
     control::{Control, HostState},
     event::{Event, Timeline},
@@ -61,6 +62,7 @@
     pub(crate) meter: Arc<Meter>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) budget: Arc<Budget>,
     pub(crate) phase: watch::Receiver<Phase>,
 }
 
@@ -77,6 +79,7 @@
     pub(crate) meter: Arc<Meter>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) budget: Arc<Budget>,
     /// Number of open sessions.
     pub(crate) sessions: AtomicUsize,
     /// Steps of a graceful shutdown.
@@ -105,6 +108,7 @@
             meter: dependencies.meter,
             timeline: dependencies.timeline,
             metrics: dependencies.metrics,
+            budget: dependencies.budget,
             sessions: AtomicUsize::new(0),
             phase: dependencies.phase,
             executor: Executor::default(),
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -22,6 +22,7 @@
     transaction::{Step, ZONE_OUT},
 };
 use crate::{
+    budget::Account,
     clock::now_ms,
     event::Event,
     metering::Counted,
@@ -32,6 +33,11 @@
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 /// Buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 1024;
+/// Length of a message after which its buffer is given back, in bytes.
+const KEPT_BYTES: usize = 16 * 1024;
+/// Copies of a message while its statement runs: the statement, and what is sent to the member, in a
+/// buffer that grows by doubling.
+const WORK_FACTOR: usize = 3;
 /// Time limit for the first message.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit for a write to a caller that does not read.
@@ -56,12 +62,15 @@
     Malformed,
     /// The caller was refused.
     Refused,
+    /// Clients use too much of this host, this one most.
+    Closed,
 }
 
 /// A caller's session.
 pub(crate) struct Session {
     proxy: Arc<Proxy>,
     stream: TcpStream,
+    account: Account,
     input: BytesMut,
     output: BytesMut,
     database: Name,
@@ -81,12 +90,13 @@
 }
 
 impl Session {
-    pub(crate) fn new(proxy: Arc<Proxy>, stream: TcpStream) -> Self {
+    pub(crate) fn new(proxy: Arc<Proxy>, stream: TcpStream, account: Account) -> Self {
         let phase = proxy.phase.clone();
         let changes = proxy.control.watch_changes();
         Self {
             proxy,
             stream,
+            account,
             input: BytesMut::new(),
             output: BytesMut::new(),
             database: "".into(),
@@ -108,7 +118,7 @@
             let proxy = &self.proxy;
             proxy
                 .timeline
-                .emit(Event::CallerMalformed, &[("caller", &caller)]);
+                .emit_bounded(Event::CallerMalformed, &[("caller", &caller)]);
         }
         let _ = self.stream.shutdown().await;
     }
@@ -167,7 +177,7 @@
             }
             let due = rollback.map(|(at, _)| Duration::from_millis(at.saturating_sub(now_ms())));
             tokio::select! {
-                read = read_more(&mut self.stream, &mut self.input) => {
+                read = read_more(&mut self.stream, &mut self.input, &self.account) => {
                     read?;
                     idle_since = now_ms();
                 }
@@ -206,19 +216,35 @@
             if let Some(message) = self.parse()? {
                 return Ok(message);
             }
-            read_more(&mut self.stream, &mut self.input).await?;
+            read_more(&mut self.stream, &mut self.input, &self.account).await?;
         }
     }
 
     fn parse(&mut self) -> Result<Option<CallerMessage>, End> {
+        let received = self.input.len();
         let message = (self.proxy.protocol.read_caller)(&mut self.input);
         let message = message.map_err(|_| End::Malformed)?;
-        if message.is_none() && self.input.len() > MAX_MESSAGE_BYTES {
+        if message.is_some() {
+            self.begin_work(received - self.input.len())?;
+        } else if self.input.len() > MAX_MESSAGE_BYTES {
             return Err(End::Malformed);
+        } else {
+            let is_empty = self.input.is_empty();
+            self.account
+                .hold(if is_empty { 0 } else { self.input.capacity() });
         }
         Ok(message)
     }
 
+    /// Counts the work for a message of this length, and gives back the buffer that it came in.
+    fn begin_work(&mut self, length: usize) -> Result<(), End> {
+        if length > KEPT_BYTES {
+            self.input = BytesMut::from(&self.input[..]);
+        }
+        let bytes = length * WORK_FACTOR + self.input.len();
+        self.account.begin_work(bytes).map_err(|_| End::Closed)
+    }
+
     // ---------------------------------------------------------------------------------------------
     // Statements
 
@@ -293,6 +319,7 @@
                 let values = Arc::make_mut(&mut self.values);
                 if values.len() < MAX_NAMES || values.contains_key(&name) {
                     values.insert(name, value);
+                    self.count_kept();
                     self.reply_done();
                 } else {
                     self.reply_failed(Code::Malformed, "too many values");
@@ -300,7 +327,10 @@
             }
             Statement::Prepare { name, statement } => self.prepare(name, statement),
             Statement::Deallocate { name } => match self.prepared.remove(&name) {
-                Some(_) => self.reply_done(),
+                Some(_) => {
+                    self.count_kept();
+                    self.reply_done();
+                }
                 None => self.reply_failed(Code::NoStatement, "no such prepared statement"),
             },
             Statement::Execute { name, arguments } => match self.prepared.get(&name).cloned() {
@@ -327,9 +357,17 @@
             return;
         }
         self.prepared.insert(name, statement);
+        self.count_kept();
         self.reply_done();
     }
 
+    /// Counts the session values and the prepared statements.
+    fn count_kept(&self) {
+        let values = self.values.values().map(|value| value.len());
+        let statements = self.prepared.values().map(|prepared| prepared.text.len());
+        self.account.keep(values.chain(statements).sum());
+    }
+
     async fn begin(&mut self, id: &Name, read: bool) {
         if self.transaction.is_some() {
             self.reply_failed(Code::Malformed, "a transaction is open");
@@ -439,9 +477,19 @@
     }
 }
 
-async fn read_more(stream: &mut TcpStream, input: &mut BytesMut) -> Result<(), End> {
+async fn read_more(
+    stream: &mut TcpStream,
+    input: &mut BytesMut,
+    account: &Account,
+) -> Result<(), End> {
+    account.wait_for_room(input.len()).await;
     input.reserve(READ_BYTES);
-    match stream.read_buf(input).await {
+    let read = tokio::select! {
+        biased;
+        () = account.closed() => return Err(End::Closed),
+        read = stream.read_buf(input) => read,
+    };
+    match read {
         Ok(0) | Err(_) => Err(End::Disconnected),
         Ok(_) => Ok(()),
     }
--- a/crates/hemlockcrank_host/src/metrics.rs
+++ b/crates/hemlockcrank_host/src/metrics.rs
@@ -40,6 +40,8 @@
     dispatch_in_progress: Gauge<u64>,
     dispatch_waiting: Gauge<u64>,
     dispatch_refusals: Counter<u64>,
+    clients_closed: Counter<u64>,
+    client_bytes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -77,6 +79,8 @@
             dispatch_in_progress: meter.u64_gauge("hemlockcrank_dispatch_in_progress").build(),
             dispatch_waiting: meter.u64_gauge("hemlockcrank_dispatch_waiting").build(),
             dispatch_refusals: meter.u64_counter("hemlockcrank_dispatch_refusals").build(),
+            clients_closed: meter.u64_counter("hemlockcrank_clients_closed").build(),
+            client_bytes: meter.u64_gauge("hemlockcrank_client_bytes").build(),
             registry,
             _provider: provider,
         })
@@ -176,6 +180,17 @@
             .add(1, &[KeyValue::new("class", class as i64)]);
     }
 
+    /// Counts a client whose connection was closed because it used too much.
+    pub fn count_client_closed(&self, reason: &'static str) {
+        self.clients_closed
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records the bytes that all clients together hold.
+    pub fn record_client_bytes(&self, bytes: u64) {
+        self.client_bytes.record(bytes, &[]);
+    }
+
     /// Returns all values in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new()
--- a/crates/hemlockcrank_wire/src/lib.rs
+++ b/crates/hemlockcrank_wire/src/lib.rs
@@ -28,7 +28,7 @@
     Answer, Body, Code, Decline, Execute, Executed, Kind, PreparedStatement, Refusal, Status, Step,
     TransactionId,
 };
-pub use server::{Incoming, serve};
+pub use server::{Incoming, serve, serve_gated};
 
 /// Version of the protocol between hosts.
 pub const VERSION: u32 = 7;
