--- a/crates/hemlockcrank_host/src/budget.rs
+++ b/crates/hemlockcrank_host/src/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! [`hemlockcrank_core::budget`] decides which connections are closed. Here each connection has an
 //! [`Account`], which tells its task when to end, and [`Metered`] keeps the account of a connection that a
-//! library reads and writes. [`Budget::run`] closes what is slow.
+//! library reads and writes. A task of the host closes what is slow.
 
 mod account;
 mod listener;
