Rate limits: single tokens are lent up to 300 a second, and a refused statement gives its token back

Only larger rates keep their portions now, and only their hosts ask after pauses. A statement outside a transaction that was refused as busy gives its token back on sites of more than 12 hosts: its retries used up the rate while members were full.

--- a/crates/hemlockcrank_core/src/quota.rs
+++ b/crates/hemlockcrank_core/src/quota.rs
@@ -21,8 +21,8 @@
 pub use bucket::{Answer, Bucket, Handover, Loan, Settlement};
 pub use loans::{LoanRequest, Loans, Pause, Take};
 pub use portion::{
-    Allocation, PORTION_MS, Portion, PortionGrant, PortionRequest, TOTAL_PARTS, has_many_hosts,
-    lendable, max_held, max_held_over_rate, uses_portions,
+    Allocation, PORTION_MS, Portion, PortionGrant, PortionRequest, TOTAL_PARTS, can_overload_owner,
+    has_many_hosts, lendable, max_held, max_held_over_rate, uses_portions,
 };
 
 /// Lifetime of a loan for the borrower, counted from when it sent the request, in milliseconds.
--- a/crates/hemlockcrank_core/src/quota/portion.rs
+++ b/crates/hemlockcrank_core/src/quota/portion.rs
@@ -39,7 +39,7 @@
 const FEW_HOSTS: u64 = 12;
 /// Tokens a second up to which the owner lends a whole rate one by one to many hosts. More requests would
 /// take up a small host.
-const MAX_LENT_PER_SECOND: u64 = 100;
+const MAX_LENT_PER_SECOND: u64 = 300;
 /// Window over which demand is counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
@@ -62,13 +62,18 @@
 /// Most parts that may be held while the workspace is over its rate. They are none where the owner can
 /// lend every token on demand, so that no part is left unused at a host without demand.
 pub fn max_held_over_rate(rate: Rate, hosts: u64) -> u64 {
-    if has_many_hosts(hosts) && rate.per_second > MAX_LENT_PER_SECOND {
+    if can_overload_owner(rate, hosts) {
         return max_held(rate);
     }
     0
 }
 
-/// Whether there are so many hosts that all of them together can overload the owner of a rate.
+/// Whether requests for single tokens of a rate by all hosts can overload its owner.
+pub fn can_overload_owner(rate: Rate, hosts: u64) -> bool {
+    has_many_hosts(hosts) && rate.per_second > MAX_LENT_PER_SECOND
+}
+
+/// Whether there are too many hosts for each to hold a token of every rate.
 pub fn has_many_hosts(hosts: u64) -> bool {
     hosts > FEW_HOSTS
 }
@@ -224,6 +229,15 @@
         available
     }
 
+    /// Takes back a token that was spent for an operation that did not run.
+    pub fn refund(&mut self, now: u64, rate: Rate, hosts: u64) {
+        self.refill(now, rate, hosts);
+        if now < self.expires_at {
+            let capacity = self.capacity_milli(rate, hosts);
+            self.level_milli = (self.level_milli + MILLI).min(capacity.max(self.level_milli));
+        }
+    }
+
     /// Request to the owner for the next portion.
     pub fn request(&mut self, now: u64, workspace: Name) -> PortionRequest {
         self.roll_window(now);
--- a/crates/hemlockcrank_core/tests/allotment/overload.rs
+++ b/crates/hemlockcrank_core/tests/allotment/overload.rs
@@ -1,7 +1,7 @@
 //! A workspace far over its rate on a site of many hosts.
 
 use hemlockcrank_core::{
-    quota::{Answer, Loans, TOTAL_PARTS, max_held_over_rate},
+    quota::{Answer, Loans, Portion, TOTAL_PARTS, max_held_over_rate},
     record::Rate,
 };
 
@@ -47,6 +47,28 @@
     assert_eq!(loans.pause(1_001), None);
 }
 
+/// Guards against operations that full members refuse and that use up the rate of their workspace.
+#[test]
+fn a_refunded_token_is_spent_again_and_exceeds_no_portion() {
+    let rate = Rate {
+        per_second: 100,
+        burst: 100,
+    };
+    let mut portion = Portion::default();
+    let request = portion.request(0, "w".into());
+    assert_eq!(request.held, 0);
+    portion.apply_grant(0, 0, TOTAL_PARTS / 50, rate, HOSTS);
+    let spent = (0..3).filter(|_| portion.take(1_000, rate, HOSTS)).count();
+    assert_eq!(spent, 2);
+
+    for _ in 0..5 {
+        portion.refund(1_000, rate, HOSTS);
+    }
+
+    let spent = (0..5).filter(|_| portion.take(1_000, rate, HOSTS)).count();
+    assert_eq!(spent, 2);
+}
+
 /// Guards against a large rate whose tokens are all lent one by one as soon as its workspace is over it.
 #[test]
 fn many_hosts_keep_their_portions_of_a_large_rate_while_it_is_exceeded() {
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -206,6 +206,13 @@
         })
     }
 
+    /// Takes back the token of an operation that was refused before it ran.
+    pub(crate) fn refund(&self, operation: &Operation, refusal: &Refusal) {
+        if refusal.code == Code::Busy {
+            self.portions.refund(&operation.workspace);
+        }
+    }
+
     /// Spends a token of the workspace's rate limit, waiting for one if necessary.
     pub(crate) async fn admit(&self, operation: &Operation) -> Result<(), Refusal> {
         if self.portions.take(&operation.workspace) {
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -430,7 +430,7 @@
             Ok(operation) => operation,
             Err(refusal) => return self.reply_refused(id, &refusal),
         };
-        let execution = self.execution(operation, id, body);
+        let execution = self.execution(operation.clone(), id, body);
         let proxy = Arc::clone(&self.proxy);
         let outcome = match writes {
             true => proxy.forward_write(&execution).await,
@@ -443,7 +443,10 @@
                 }
                 self.reply_answer(&answer, Status::Idle);
             }
-            Err(refusal) => self.reply_refused(id, &refusal),
+            Err(refusal) => {
+                proxy.refund(&operation, &refusal);
+                self.reply_refused(id, &refusal);
+            }
         }
     }
 
--- a/crates/hemlockcrank_host/src/limits.rs
+++ b/crates/hemlockcrank_host/src/limits.rs
@@ -19,8 +19,8 @@
 use hemlockcrank_core::{
     Name, lease,
     quota::{
-        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Loans, Settlement, Take, has_many_hosts,
-        lendable,
+        Answer, Bucket, Handover, LOAN_MARGIN_MS, LOAN_MS, Loans, Settlement, Take,
+        can_overload_owner, lendable,
     },
     record::Rate,
 };
@@ -176,7 +176,7 @@
                 loans.receive(now_ms(), request.asked_at, answer);
                 let has_token =
                     matches!(answer, Some(Answer::Granted(_) | Answer::Reserved { .. }));
-                if !has_token && has_many_hosts(self.control.host_state().serving_hosts) {
+                if !has_token && self.owner_may_be_overloaded(workspace) {
                     loans.back_off(now_ms(), answer.is_some());
                 }
             }
@@ -193,6 +193,13 @@
         }
     }
 
+    /// Whether the requests of all hosts can overload the owner of a workspace's rate.
+    fn owner_may_be_overloaded(&self, workspace: &str) -> bool {
+        let host_state = self.control.host_state();
+        let rate = host_state.state.catalog.rate(workspace);
+        rate.is_some_and(|rate| can_overload_owner(rate, host_state.serving_hosts))
+    }
+
     /// Borrows tokens from the owner, which may be this host, and reports settled loans.
     async fn borrow(
         self: &Arc<Self>,
--- a/crates/hemlockcrank_host/src/limits/portions.rs
+++ b/crates/hemlockcrank_host/src/limits/portions.rs
@@ -13,8 +13,8 @@
 use hemlockcrank_core::{
     Name,
     quota::{
-        Allocation, Portion, PortionGrant, PortionRequest, max_held, max_held_over_rate,
-        uses_portions,
+        Allocation, Portion, PortionGrant, PortionRequest, has_many_hosts, max_held,
+        max_held_over_rate, uses_portions,
     },
     record::Rate,
 };
@@ -92,6 +92,21 @@
         portion.take(now_ms(), rate, hosts)
     }
 
+    /// Takes back the token of an operation that did not run, on a site of many hosts. There a portion
+    /// has so few tokens that operations refused by full members would use up the rate.
+    pub fn refund(&self, workspace: &Name) {
+        let host_state = self.control.host_state();
+        let hosts = host_state.serving_hosts;
+        let Some(rate) = host_state.state.catalog.rate(workspace) else {
+            return;
+        };
+        if let Some(portion) = lock(&self.held).get_mut(workspace)
+            && has_many_hosts(hosts)
+        {
+            portion.refund(now_ms(), rate, hosts);
+        }
+    }
+
     /// Requests portions from the owners of all rate limits at regular intervals, until dropped.
     pub async fn run(self: Arc<Self>) {
         loop {
