--- a/crates/hemlockcrank_core/tests/sharing.rs
+++ b/crates/hemlockcrank_core/tests/sharing.rs
@@ -6,8 +6,9 @@
     Name,
     connections::Fleet,
     membership::{Host, View},
-    sharing::{Assignment, is_shared},
+    sharing::{Assignment, Executors, Loss, Sent, is_shared},
 };
+use rstest::rstest;
 
 fn view(zones: &[(&str, usize)]) -> View {
     let mut view = View::default();
@@ -111,3 +112,102 @@
     assert!(!is_shared(fleet(34, 6), 2));
     assert!(!is_shared(fleet(16, 7), 3));
 }
+
+fn names() -> [Name; 2] {
+    ["a".into(), "b".into()]
+}
+
+/// Health of executor `a` after answers that took this long.
+fn answered_in(took_ms: u64) -> Executors {
+    let mut executors = Executors::default();
+    for _ in 0..100 {
+        executors.record_answer(&names()[0], took_ms);
+    }
+    executors
+}
+
+/// Guards against an operation that is sent twice to one executor, or to one that has just failed.
+#[test]
+fn the_first_executor_that_is_not_tried_or_avoided_is_chosen() {
+    let order = names();
+    let mut executors = Executors::default();
+
+    assert_eq!(executors.choose(0, &order, &[]), Some("a".into()));
+    assert_eq!(executors.choose(0, &order, &order[..1]), Some("b".into()));
+    executors.record_failure(0, &order[0]);
+    assert_eq!(executors.choose(0, &order, &[]), Some("b".into()));
+    assert_eq!(executors.choose(0, &order, &order[1..]), None);
+    assert_eq!(executors.choose(0, &[], &[]), None);
+}
+
+/// Guards against an executor that is never used again after one failure.
+#[test]
+fn an_executor_is_avoided_for_a_while_or_until_it_answers() {
+    let order = names();
+    let mut executors = Executors::default();
+
+    assert!(executors.record_failure(0, &order[0]));
+    assert!(!executors.record_failure(299, &order[0]));
+    assert_eq!(executors.choose(299, &order, &[]), Some("b".into()));
+    assert_eq!(executors.choose(300, &order, &[]), Some("a".into()));
+    assert!(executors.record_failure(300, &order[0]));
+    assert_eq!(executors.choose(899, &order, &[]), Some("b".into()));
+    executors.record_answer(&order[0], 20);
+    assert_eq!(executors.choose(899, &order, &[]), Some("a".into()));
+}
+
+/// Guards against operations that wait at a frozen executor until they time out, and against an
+/// executor that is avoided because it is busy.
+#[rstest]
+#[case::fast(10, 250)]
+#[case::busy(100, 800)]
+#[case::slow(1_000, 1_000)]
+fn an_executor_is_silent_after_some_latencies(#[case] took_ms: u64, #[case] silence_ms: u64) {
+    let order = names();
+    let mut executors = answered_in(took_ms);
+    executors.record_sent(5_000, &order[0]);
+    executors.record_sent(5_100, &order[0]);
+
+    let before = executors.avoid_silent(5_000 + silence_ms - 1, &order);
+    let after = executors.avoid_silent(5_000 + silence_ms, &order);
+
+    assert_eq!((before, after), (vec![], order[..1].to_vec()));
+    let chosen = executors.choose(5_000 + silence_ms, &order, &[]);
+    assert_eq!(chosen, Some("b".into()));
+}
+
+/// Guards against an executor that is avoided because of an operation that it answered, and one that
+/// is reported as silent again while it is avoided.
+#[test]
+fn an_executor_that_was_sent_nothing_since_its_answer_is_not_silent() {
+    let order = names();
+    let mut executors = Executors::default();
+    executors.record_sent(0, &order[0]);
+    executors.record_answer(&order[0], 20);
+    executors.record_sent(0, &order[1]);
+
+    let silent = executors.avoid_silent(60_000, &order);
+    let again = executors.avoid_silent(60_000, &order);
+
+    assert_eq!((silent, again), (order[1..].to_vec(), vec![]));
+}
+
+/// Guards against reads that run twice because their executor is busy.
+#[test]
+fn a_read_is_hedged_later_at_a_busy_executor() {
+    let [fast, busy] = [10, 200].map(|took_ms| answered_in(took_ms).hedge_ms("a", 400));
+
+    assert!(fast > 10 && busy > 200 && busy >= fast, "{fast} {busy}");
+}
+
+/// Guards against a write that runs twice, and against an answer that says *not run* of a statement
+/// that may have taken effect.
+#[rstest]
+#[case(Sent::Read, Loss::Repeat)]
+#[case(Sent::Write, Loss::Unknown)]
+#[case(Sent::Statement, Loss::Abort)]
+#[case(Sent::Commit { wrote: true }, Loss::Unknown)]
+#[case(Sent::Commit { wrote: false }, Loss::Abort)]
+fn a_missing_answer_is_never_taken_for_not_run(#[case] sent: Sent, #[case] loss: Loss) {
+    assert_eq!(sent.unanswered(), loss);
+}
