Transactions: one that its member ends with an error does not go on

A member that refuses a statement may end the transaction by itself. The next statement then began another transaction, and its commit was reported as done although the earlier statements had been rolled back.

--- a/crates/hemlockcrank_host/src/engine/forward/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/forward/transaction.rs
@@ -12,7 +12,7 @@
         admission::{Operation, Refusal, Trail},
         execution::Execution,
         member_connection::Answer,
-        transaction,
+        transaction::{self, has_failed},
     },
     peers::CALL_TIMEOUT,
 };
@@ -200,7 +200,7 @@
             Reply::Answered(answer) if answer.status == Status::Open => return Ok(answer),
             Reply::Answered(answer) => {
                 remote.has_ended = true;
-                self.failed |= answer.status == Status::Failed;
+                self.failed |= has_failed(&answer, step);
                 Ok(answer)
             }
             Reply::Refused { refusal, .. } => {
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -111,7 +111,7 @@
         match &outcome {
             Ok(answer) if answer.status == Status::Open => {}
             Ok(answer) => {
-                self.failed |= answer.status == Status::Failed;
+                self.failed |= has_failed(answer, step);
                 if answer.status == Status::Idle {
                     self.pinned = None;
                 }
@@ -365,6 +365,13 @@
     }
 }
 
+/// Whether an answer says that the transaction cannot be committed any more. A member that refuses a
+/// statement may also end the transaction by itself; a further statement would begin another one.
+pub(crate) fn has_failed(answer: &Answer, step: Step) -> bool {
+    let has_ended = answer.status == Status::Idle && step != Step::Commit;
+    answer.status == Status::Failed || (has_ended && answer.outcome.is_err())
+}
+
 impl Drop for Transaction {
     fn drop(&mut self) {
         self.abandon();
