Executor: a shutdown rolls back transactions whose statements follow each other closely

They were idle only between two checks, so their statements went on, commits included, until the process ended.

--- a/crates/hemlockcrank_host/src/engine/executor.rs
+++ b/crates/hemlockcrank_host/src/engine/executor.rs
@@ -264,6 +264,11 @@
             } => (first, read_only),
             Kind::Read | Kind::Write => (false, true),
         };
+        // Otherwise a transaction whose statements follow each other closely would never be idle when
+        // `expire_transactions` looks.
+        if *self.phase.borrow() >= Phase::Closing {
+            self.expire_once();
+        }
         let mut transactions = lock(&self.executor.transactions);
         if first {
             if !transactions.open(id) {
--- a/crates/hemlockcrank_host/src/engine/executor/expiry.rs
+++ b/crates/hemlockcrank_host/src/engine/executor/expiry.rs
@@ -35,7 +35,8 @@
         }
     }
 
-    fn expire_once(&self) {
+    /// Checks all idle transactions once.
+    pub(super) fn expire_once(&self) {
         let now = now_ms();
         let is_closing = *self.phase.borrow() >= Phase::Closing;
         let idle_ms = match self.host_state().state.catalog.transaction_idle_ms() {
