Sharing: an executor is silent only while operations wait for it

An operation whose caller left, or a read that was answered directly first, left the time of its sending behind. The next operation after a quiet moment then avoided an executor that works.

--- a/crates/hemlockcrank_core/src/sharing/health.rs
+++ b/crates/hemlockcrank_core/src/sharing/health.rs
@@ -4,8 +4,8 @@
 
 use crate::{Name, balance::Load};
 
-/// Shortest and longest time without any answer of an executor, from the first operation sent since
-/// its last one, after which it is avoided, in milliseconds. An executor that is frozen would otherwise
+/// Shortest and longest time without any answer of an executor, while operations wait for one, after
+/// which it is avoided, in milliseconds. An executor that is frozen would otherwise
 /// receive operations until the first of them times out.
 const SILENCE_MS: (u64, u64) = (250, 1_000);
 /// The same time, as a multiple of the executor's latency. An executor that is only busy is not avoided.
@@ -23,8 +23,13 @@
 struct Health {
     /// Latency, and for how long the executor is avoided after failures.
     load: Load,
-    /// Time of the first operation that was sent since the last answer.
+    /// Time of the first operation that was sent since the last answer. Moved on by the time in which
+    /// no operation waited.
     asked_at: Option<u64>,
+    /// Operations that wait for an answer.
+    waiting: usize,
+    /// Time at which the last one stopped waiting.
+    waited_until: u64,
 }
 
 impl Health {
@@ -33,7 +38,11 @@
         let (shortest, longest) = SILENCE_MS;
         let silence_ms = self.load.latency_ms() * SILENCE_LATENCIES;
         let silence_ms = silence_ms.clamp(shortest, longest);
-        self.asked_at.is_some_and(|at| now >= at + silence_ms)
+        let until = match self.waiting {
+            0 => self.waited_until,
+            _ => now,
+        };
+        self.asked_at.is_some_and(|at| until >= at + silence_ms)
     }
 }
 
@@ -77,7 +86,18 @@
     /// Records that an operation is sent.
     pub fn record_sent(&mut self, now: u64, executor: &Name) {
         let health = self.healths.entry(executor.clone()).or_default();
-        health.asked_at.get_or_insert(now);
+        let at = health.asked_at.get_or_insert(now);
+        if health.waiting == 0 {
+            *at += now.saturating_sub(health.waited_until.max(*at));
+        }
+        health.waiting += 1;
+    }
+
+    /// Records that an operation no longer waits, with or without an answer.
+    pub fn record_end(&mut self, now: u64, executor: &Name) {
+        let health = self.healths.entry(executor.clone()).or_default();
+        health.waiting = health.waiting.saturating_sub(1);
+        health.waited_until = now;
     }
 
     /// Records that the executor answered after `took_ms`, with any answer.
--- a/crates/hemlockcrank_core/tests/sharing.rs
+++ b/crates/hemlockcrank_core/tests/sharing.rs
@@ -192,6 +192,24 @@
     assert_eq!((silent, again), (order[1..].to_vec(), vec![]));
 }
 
+/// Guards against an executor that is avoided because callers left, or reads were answered directly,
+/// before its answer arrived, and no operation was sent for some time after that.
+#[test]
+fn only_time_in_which_an_operation_waits_counts_as_silence() {
+    let order = names();
+    let mut executors = Executors::default();
+    executors.record_sent(0, &order[0]);
+    executors.record_end(100, &order[0]);
+
+    let idle = executors.avoid_silent(60_000, &order);
+    executors.record_sent(60_000, &order[0]);
+    let before = executors.avoid_silent(60_149, &order);
+    let after = executors.avoid_silent(60_150, &order);
+
+    assert_eq!((idle, before), (vec![], vec![]));
+    assert_eq!(after, order[..1].to_vec());
+}
+
 /// Guards against reads that run twice because their executor is busy.
 #[test]
 fn a_read_is_hedged_later_at_a_busy_executor() {
--- a/crates/hemlockcrank_host/src/engine/forward/call.rs
+++ b/crates/hemlockcrank_host/src/engine/forward/call.rs
@@ -32,13 +32,31 @@
     pub(super) address: SocketAddr,
 }
 
+/// An operation that waits for an answer until dropped. Its caller may leave before that.
+struct Waiting<'a>(&'a Call<'a>);
+
+impl<'a> Waiting<'a> {
+    fn start(call: &'a Call<'a>, now: u64) -> Self {
+        let mut executors = lock(&call.proxy.forwarding.executors);
+        executors.record_sent(now, call.executor);
+        Self(call)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut executors = lock(&self.0.proxy.forwarding.executors);
+        executors.record_end(now_ms(), self.0.executor);
+    }
+}
+
 impl Call<'_> {
     /// Sends a statement and records what the reply says of the executor.
     pub(super) async fn run(&self, execution: &Execution, kind: Kind) -> Reply {
         let proxy = self.proxy;
         let sent_at = now_ms();
         let request = Request::Execute(Box::new(self.request(execution, kind, sent_at)));
-        lock(&proxy.forwarding.executors).record_sent(sent_at, self.executor);
+        let _waiting = Waiting::start(self, sent_at);
         proxy.metrics.count_forwarded();
         let limit = execution.time_left(sent_at) + ANSWER_MARGIN;
         let response = proxy
