--- a/crates/hemlockcrank_core/src/lib.rs
+++ b/crates/hemlockcrank_core/src/lib.rs
@@ -16,10 +16,12 @@
 //! - [`failover`]: changes of primary.
 //! - [`catalog`], [`group`], [`succession`], [`floor`]: sites whose configuration is submitted as a
 //!   whole and whose databases manage their own replication.
+//! - [`metering`]: usage by window, reported to the platform once.
 //! - [`arrival`]: orders that have no number of their own.
 //! - [`quota`], [`queue`], [`connections`], [`share`]: rate limits and fair queueing.
 //! - [`dispatch`]: which statements run at a member, wait, or are refused.
 //! - [`sharing`]: connections that the hosts of an availability zone share.
+//! - [`spillover`]: the share of the reads that leaves an availability zone.
 //! - [`statement`]: classifies a statement by its text.
 //!
 //! ```
@@ -43,6 +45,7 @@
 pub mod group;
 pub mod lease;
 pub mod membership;
+pub mod metering;
 pub mod observation;
 pub mod parent;
 pub mod placement;
@@ -53,9 +56,11 @@
 pub mod request;
 pub mod retry;
 pub mod route;
+mod sender;
 pub mod session;
 pub mod share;
 pub mod sharing;
+pub mod spillover;
 pub mod state;
 pub mod statement;
 pub mod succession;
--- a/crates/hemlockcrank_core/tests/sharing.rs
+++ b/crates/hemlockcrank_core/tests/sharing.rs
@@ -210,12 +210,30 @@
     assert_eq!(after, order[..1].to_vec());
 }
 
-/// Guards against reads that run twice because their executor is busy.
+/// Guards against reads that run twice because their executor is busy, not silent.
 #[test]
-fn a_read_is_hedged_later_at_a_busy_executor() {
-    let [fast, busy] = [10, 200].map(|took_ms| answered_in(took_ms).hedge_ms("a", 400));
+fn a_read_is_hedged_once_its_executor_is_silent() {
+    let mut executors = answered_in(100);
+    executors.record_sent(5_000, &names()[0]);
 
-    assert!(fast > 10 && busy > 200 && busy >= fast, "{fast} {busy}");
+    assert!(!executors.is_silent(5_799, "a"));
+    assert!(executors.is_silent(5_800, "a"));
+    assert!(!executors.is_silent(5_800, "b"));
+}
+
+/// Guards against reads that wait until they time out because another operation has found their
+/// executor silent before them.
+#[test]
+fn reads_that_wait_at_an_executor_are_hedged_once_it_is_avoided() {
+    let order = names();
+    let mut executors = Executors::default();
+    executors.record_sent(0, &order[0]);
+    executors.record_sent(0, &order[0]);
+
+    let avoided = executors.avoid_silent(250, &order);
+
+    assert_eq!(avoided, order[..1].to_vec());
+    assert!(executors.is_silent(250, "a"));
 }
 
 /// Guards against a write that runs twice, and against an answer that says *not run* of a statement
--- a/crates/hemlockcrank_host/src/engine/executor.rs
+++ b/crates/hemlockcrank_host/src/engine/executor.rs
@@ -27,6 +27,7 @@
 use crate::{
     clock::now_ms,
     event::Event,
+    metering::Counted,
     phase::{self, Phase},
     sync::lock,
 };
@@ -198,6 +199,7 @@
             values: Arc::new(request.values.clone()),
             watermark: request.watermark,
             deadline: now_ms() + request.time_left_ms,
+            counted: Counted::default(),
         };
         let outcome = match &request.kind {
             Kind::Read => self.read(execution).await,
--- a/crates/hemlockcrank_host/src/engine/proxy.rs
+++ b/crates/hemlockcrank_host/src/engine/proxy.rs
@@ -15,14 +15,15 @@
 use tokio::{sync::watch, time::sleep};
 
 use super::{
-    Primaries, Protocol, executor::Executor, forward::Forwarding, member_connection::Target,
-    pool::Pool, sharing::Sharing,
+    Primaries, Protocol, execution::Execution, executor::Executor, forward::Forwarding,
+    member_connection::Target, pool::Pool, sharing::Sharing, spillover::Spillovers,
 };
 use crate::{
     clock::now_ms,
     control::{Control, HostState},
     event::{Event, Timeline},
     limits::{Limits, Portions},
+    metering::Meter,
     metrics::Metrics,
     peers::Peers,
     phase::Phase,
@@ -57,6 +58,7 @@
     pub(crate) limits: Arc<Limits>,
     pub(crate) portions: Arc<Portions>,
     pub(crate) primaries: Arc<Primaries>,
+    pub(crate) meter: Arc<Meter>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) phase: watch::Receiver<Phase>,
@@ -72,6 +74,7 @@
     pub(crate) limits: Arc<Limits>,
     pub(crate) portions: Arc<Portions>,
     pub(crate) primaries: Arc<Primaries>,
+    pub(crate) meter: Arc<Meter>,
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) metrics: Arc<Metrics>,
     /// Number of open sessions.
@@ -83,6 +86,8 @@
     /// Operations that others run for this host.
     pub(crate) forwarding: Forwarding,
     pub(super) sharing: Mutex<Arc<Sharing>>,
+    /// Reads that leave the zone, by service.
+    pub(super) spillovers: Spillovers,
     /// Connection pools by member.
     pools: Mutex<HashMap<Name, Arc<Pool>>>,
 }
@@ -97,6 +102,7 @@
             limits: dependencies.limits,
             portions: dependencies.portions,
             primaries: dependencies.primaries,
+            meter: dependencies.meter,
             timeline: dependencies.timeline,
             metrics: dependencies.metrics,
             sessions: AtomicUsize::new(0),
@@ -104,6 +110,7 @@
             executor: Executor::default(),
             forwarding: Forwarding::default(),
             sharing: Mutex::default(),
+            spillovers: Spillovers::default(),
             pools: Mutex::default(),
         })
     }
@@ -112,6 +119,14 @@
         self.control.host_state()
     }
 
+    /// Counts an operation that was sent to a member at `sent_at`, once.
+    pub(crate) fn count_operation(&self, execution: &Execution, sent_at: u64) {
+        let workspace = &execution.operation.workspace;
+        if self.meter.count(&execution.counted, sent_at, workspace) {
+            self.metrics.count_metered();
+        }
+    }
+
     /// Local address for connections to members.
     pub(crate) fn source_ip(&self) -> IpAddr {
         self.settings.listen.peer.ip()
