--- a/crates/hemlockcrank_core/src/sharing/health.rs
+++ b/crates/hemlockcrank_core/src/sharing/health.rs
@@ -111,11 +111,11 @@
         true
     }
 
-    /// Whether the executor has not answered anything for too long, although operations were sent to
-    /// it. A read is then run directly as well. One that is only busy must not cause connections that
-    /// are used once.
+    /// Whether the executor is avoided, or has not answered anything for too long, although operations
+    /// were sent to it. A read is then run directly as well. One that is only busy must not cause
+    /// connections that are used once.
     pub fn is_silent(&self, now: u64, executor: &str) -> bool {
         let health = self.healths.get(executor);
-        health.is_some_and(|health| health.is_silent(now))
+        health.is_some_and(|health| health.load.is_paused(now) || health.is_silent(now))
     }
 }
