Dispatch: statements whose answers are lost do not lower the limit and occupy no slot

Lost answers lowered the limit down to one and entered the service time, and a statement without an answer held its permit until its timeout. Now a lost answer changes neither, a statement that is overdue (8 times the usual time, 250 ms at least) leaves its place, and busy answers lower the limit to half of the slots at the least.

--- a/crates/hemlockcrank_core/src/dispatch.rs
+++ b/crates/hemlockcrank_core/src/dispatch.rs
@@ -42,6 +42,10 @@
 pub const CLASSES: usize = 4;
 /// Statements that may wait, as a bound of memory and of the time for a decision.
 const MAX_WAITING: usize = 256;
+/// Time after which the answer of a statement is overdue, as a multiple of the usual service time.
+const OVERDUE_FACTOR: u64 = 8;
+/// Shortest such time, in milliseconds.
+const MIN_OVERDUE_MS: u64 = 250;
 /// Time over which the retries of refused callers are spread, in microseconds.
 const RETURN_SPREAD_US: u64 = 2_000_000;
 /// Longest time after which a caller is told to retry, in milliseconds.
@@ -189,7 +193,7 @@
     pub fn offer(&mut self, now: u64, offer: Offer) -> Decision {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        if self.backlog.is_empty() && self.has_free() {
+        if self.backlog.is_empty() && self.has_free(now) {
             self.start(now, ticket, &offer);
             return Decision::Run(ticket);
         }
@@ -208,7 +212,7 @@
     /// offer that waits, after each end of a statement, and after a change of the limit.
     pub fn take_turns(&mut self, now: u64) -> Vec<Turn> {
         let mut turns = Vec::new();
-        while self.has_free()
+        while self.has_free(now)
             && let Some((ticket, offer)) = self.backlog.pop(&self.service)
         {
             self.start(now, ticket, &offer);
@@ -234,7 +238,7 @@
             return;
         };
         let took_ms = now.saturating_sub(since);
-        if matches!(outcome, Outcome::Served | Outcome::Lost) {
+        if outcome == Outcome::Served {
             self.service.record(class, took_ms);
         }
         let queueing = |us: u64| self.service.is_queueing(class, us);
@@ -243,9 +247,10 @@
             // The average follows later.
             Outcome::Served if queueing(took_ms * 1_000) => {}
             Outcome::Served => limit.raise(),
-            Outcome::Busy | Outcome::Lost => limit.lower(now, since),
+            Outcome::Busy => limit.lower(now, since),
             Outcome::Unreached => limit.restart(),
-            Outcome::Unused => {}
+            // A lost answer says nothing of the member's room.
+            Outcome::Lost | Outcome::Unused => {}
         }
     }
 
@@ -258,7 +263,7 @@
 
     /// Expected wait of a new statement, in milliseconds.
     pub fn expected_wait_ms(&self, now: u64, workspace: &Name, priority: u32) -> u64 {
-        if self.backlog.is_empty() && self.has_free() {
+        if self.backlog.is_empty() && self.has_free(now) {
             return 0;
         }
         let mut backlog = self.backlog.clone();
@@ -274,9 +279,22 @@
         own.map_or(0, |(_, _, wait_ms)| wait_ms)
     }
 
-    fn has_free(&self) -> bool {
-        self.limit
-            .is_none_or(|limit| self.running.len() < limit.get())
+    /// Whether a statement may start. Statements whose answers are overdue may be lost, and occupy no
+    /// slot then; in case they do, they are left out only up to the limit.
+    fn has_free(&self, now: u64) -> bool {
+        self.limit.is_none_or(|limit| {
+            let overdue = self
+                .running
+                .values()
+                .filter(|running| self.is_overdue(now, running));
+            let overdue = overdue.count().min(limit.get());
+            self.running.len() - overdue < limit.get()
+        })
+    }
+
+    fn is_overdue(&self, now: u64, running: &Running) -> bool {
+        let usual_ms = self.service.class_us(running.class) / 1_000;
+        now.saturating_sub(running.since) > (usual_ms * OVERDUE_FACTOR).max(MIN_OVERDUE_MS)
     }
 
     fn start(&mut self, now: u64, ticket: Ticket, offer: &Offer) {
@@ -336,7 +354,7 @@
         let ages = self.running.values();
         let age_ms: u64 = ages.map(|running| now.saturating_sub(running.since)).sum();
         let percent = age_ms * 1_000 * 100 / count / self.service.average_us();
-        percent.max(100)
+        percent.clamp(100, OVERDUE_FACTOR * 100)
     }
 
     fn limit_or_one(&self) -> u64 {
--- a/crates/hemlockcrank_core/src/dispatch/limit.rs
+++ b/crates/hemlockcrank_core/src/dispatch/limit.rs
@@ -47,13 +47,11 @@
         self.milli = (self.milli + step).min(self.largest());
     }
 
-    /// Lowers the limit after an answer that shows a queue at the member. Half of the slots are left,
-    /// so that two hosts use a member that is slow by itself.
+    /// Lowers the limit after an answer that shows a queue at the member.
     pub(super) fn ease(&mut self) {
-        let smallest = (self.slots / 2).max(1) * MILLI;
-        if self.milli > smallest {
+        if self.milli > self.smallest() {
             let step = MILLI * MILLI / self.milli;
-            self.milli = (self.milli - step).max(smallest);
+            self.milli = (self.milli - step).max(self.smallest());
         }
     }
 
@@ -62,7 +60,8 @@
     pub(super) fn lower(&mut self, now: u64, began_at: u64) {
         if began_at >= self.lowered_at {
             self.lowered_at = now + 1;
-            self.milli = (self.milli * KEPT_PERCENT / 100).max(MILLI);
+            let lowered = (self.milli * KEPT_PERCENT / 100).max(self.smallest());
+            self.milli = self.milli.min(lowered);
         }
     }
 
@@ -71,6 +70,12 @@
         self.milli = MILLI;
     }
 
+    /// Half of the slots, so that two hosts use a member that is slow by itself, and one statement that
+    /// takes long does not keep all others waiting.
+    fn smallest(self) -> u64 {
+        (self.slots / 2).max(1) * MILLI
+    }
+
     fn largest(self) -> u64 {
         (self.slots + 1) * MILLI
     }
