Rate limits: the token of a read that a member may have run is not refunded

A read whose answer did not come in time, or was lost, is refused as busy although a member may have run it. Its token was given back, so a workspace could exceed its rate. The executor now tells the origin whether a member may have run the statement that it refuses.

--- a/crates/hemlockcrank_host/src/engine.rs
+++ b/crates/hemlockcrank_host/src/engine.rs
@@ -16,9 +16,10 @@
 //! - `sharing`: services whose connections the hosts of a zone share, and who has them.
 //! - `forward`: operations that another host of the zone runs for this one; `executor`: those that
 //!   this host runs for others.
-//! - `admission`: checks of lease, key and rate.
+//! - `admission`: checks of lease, key and rate; `attempts`: whether a member may have run an operation.
 
 mod admission;
+mod attempts;
 mod choice;
 mod execution;
 mod executor;
--- a/crates/hemlockcrank_host/src/engine/admission.rs
+++ b/crates/hemlockcrank_host/src/engine/admission.rs
@@ -4,7 +4,7 @@
 
 use hemlockcrank_core::{Name, catalog::Route, dispatch};
 
-use super::{Code, Proxy};
+use super::{Code, Proxy, attempts::Attempts};
 use crate::{clock::now_ms, control::HostState, limits};
 
 /// An operation that cannot run is refused after 1/`WAIT_FRACTION` of its route's latency
@@ -206,9 +206,9 @@
         })
     }
 
-    /// Takes back the token of an operation that was refused before it ran.
-    pub(crate) fn refund(&self, operation: &Operation, refusal: &Refusal) {
-        if refusal.code == Code::Busy {
+    /// Takes back the token of an operation that was refused and that no member has run.
+    pub(crate) fn refund(&self, operation: &Operation, refusal: &Refusal, attempts: &Attempts) {
+        if refusal.code == Code::Busy && !attempts.may_have_run() {
             self.portions.refund(&operation.workspace);
         }
     }
--- a/crates/hemlockcrank_host/src/engine/execution.rs
+++ b/crates/hemlockcrank_host/src/engine/execution.rs
@@ -10,6 +10,7 @@
 use super::{
     ProxyStatement, Query,
     admission::{Operation, Refusal},
+    attempts::Attempts,
     member_connection::{Answer, MemberConnection, SessionValues},
     pool::{ConnectionRequest, PooledConnection},
 };
@@ -35,6 +36,8 @@
     pub(crate) deadline: u64,
     /// Whether the operation has been counted for the report of usage.
     pub(crate) counted: Counted,
+    /// Attempts outside a transaction that may have run.
+    pub(crate) attempts: Attempts,
 }
 
 impl Execution {
--- a/crates/hemlockcrank_host/src/engine/executor.rs
+++ b/crates/hemlockcrank_host/src/engine/executor.rs
@@ -19,6 +19,7 @@
 use super::{
     Code, Proxy, Status,
     admission::{Operation, Refusal},
+    attempts::Attempts,
     execution::Execution,
     member_connection::Answer,
     session::SHUTTING_DOWN,
@@ -138,7 +139,7 @@
         };
         let Some(_place) = self.executor.enter(&request) else {
             let refusal = Refusal::new(Code::Busy, "the executor has too many operations");
-            return self.refuse(&request, &refusal, Status::Idle);
+            return self.refuse(&request, &refusal, Status::Idle, false);
         };
         self.metrics.count_run_for_others();
         let mut phase = self.phase.clone();
@@ -147,7 +148,7 @@
             executed = self.run_for_origin(&request, operation) => executed,
             // The statement is dropped, and a connection with an answer outstanding is closed.
             () = phase::reached(&mut phase, Phase::Ending) => {
-                self.refuse(&request, &last_answer(&request.kind), Status::Failed)
+                self.refuse(&request, &last_answer(&request.kind), Status::Failed, true)
             }
         }
     }
@@ -192,6 +193,7 @@
     }
 
     async fn run_for_origin(self: &Arc<Self>, request: &Execute, operation: Operation) -> Executed {
+        let attempts = Attempts::default();
         let execution = Execution {
             operation,
             id: request.id.clone(),
@@ -200,6 +202,7 @@
             watermark: request.watermark,
             deadline: now_ms() + request.time_left_ms,
             counted: Counted::default(),
+            attempts: attempts.clone(),
         };
         let outcome = match &request.kind {
             Kind::Read => self.read(execution).await,
@@ -212,7 +215,10 @@
         };
         match outcome {
             Ok(answer) => Executed::Answered(encode(answer)),
-            Err(refusal) => self.refuse(request, &refusal, Status::Idle),
+            Err(refusal) => {
+                let may_have_run = attempts.may_have_run();
+                self.refuse(request, &refusal, Status::Idle, may_have_run)
+            }
         }
     }
 
@@ -231,7 +237,7 @@
                     Code::Busy => Status::Idle,
                     _ => Status::Failed,
                 };
-                return self.refuse(request, &refusal, status);
+                return self.refuse(request, &refusal, status, status == Status::Failed);
             }
         };
         let statement = Statement {
@@ -249,7 +255,7 @@
         statement.end(goes_on.then_some(transaction));
         match outcome {
             Ok(answer) => Executed::Answered(encode(answer)),
-            Err(refusal) => self.refuse(request, &refusal, status),
+            Err(refusal) => self.refuse(request, &refusal, status, status == Status::Failed),
         }
     }
 
@@ -292,7 +298,13 @@
     }
 
     /// The refusal for the origin. Also logged here, so that an operation can be followed by its id.
-    fn refuse(&self, request: &Execute, refusal: &Refusal, status: Status) -> Executed {
+    fn refuse(
+        &self,
+        request: &Execute,
+        refusal: &Refusal,
+        status: Status,
+        may_have_run: bool,
+    ) -> Executed {
         let host_state = self.host_state();
         let fields: [(&str, &dyn std::fmt::Display); 11] = [
             ("id", &request.id),
@@ -314,6 +326,7 @@
             trail: refusal.trail.to_string().into(),
             retry_after_ms: refusal.retry_after_ms,
             status,
+            may_have_run,
         })
     }
 }
--- a/crates/hemlockcrank_host/src/engine/forward/call.rs
+++ b/crates/hemlockcrank_host/src/engine/forward/call.rs
@@ -67,7 +67,7 @@
             Ok(response) => {
                 let took_ms = now_ms().saturating_sub(sent_at);
                 lock(&proxy.forwarding.executors).record_answer(self.executor, took_ms);
-                self.read_response(response)
+                self.read_response(execution, response)
             }
             Err(error) => {
                 self.record_failure(execution, &error);
@@ -75,6 +75,7 @@
                     return Reply::NotRun(error.to_string());
                 }
                 proxy.metrics.count_lost();
+                execution.attempts.begin();
                 Reply::Lost
             }
         }
@@ -97,7 +98,7 @@
         }
     }
 
-    fn read_response(&self, response: Response) -> Reply {
+    fn read_response(&self, execution: &Execution, response: Response) -> Reply {
         match response {
             Response::Executed(executed) => match *executed {
                 Executed::Answered(answer) => Reply::Answered(Answer {
@@ -111,6 +112,9 @@
                 }),
                 Executed::Refused(refusal) => {
                     let begun = refusal.status != Status::Idle;
+                    if refusal.may_have_run {
+                        execution.attempts.begin();
+                    }
                     let mut trail = Trail::default();
                     trail.add("executor", self.executor);
                     trail.append(&refusal.trail);
@@ -129,7 +133,10 @@
             },
             Response::Unavailable => Reply::NotRun("unavailable".into()),
             // No host of this version answers so; the statement may have run.
-            _ => Reply::Lost,
+            _ => {
+                execution.attempts.begin();
+                Reply::Lost
+            }
         }
     }
 
--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -268,11 +268,12 @@
         let Some(query) = execution.query(connection, after) else {
             return Err(AttemptError::NotRun("not prepared".into()));
         };
+        execution.attempts.begin();
         match timeout(execution.time_left(sent_at), connection.run(&query)).await {
             Ok(Ok(answer)) => {
-                let has_run = !matches!(&answer.outcome, Err((code, _)) if code.is_not_run());
-                if has_run {
-                    self.count_operation(execution, sent_at);
+                match &answer.outcome {
+                    Err((code, _)) if code.is_not_run() => execution.attempts.cancel(),
+                    _ => self.count_operation(execution, sent_at),
                 }
                 Ok((sent_at, answer))
             }
--- a/crates/hemlockcrank_host/src/engine/session.rs
+++ b/crates/hemlockcrank_host/src/engine/session.rs
@@ -16,6 +16,7 @@
 use super::{
     CallerMessage, Code, PreparedStatement, Proxy, Reply, Statement, Status,
     admission::{Operation, Refusal},
+    attempts::Attempts,
     execution::{Body, Execution},
     forward::Transaction,
     member_connection::SessionValues,
@@ -431,6 +432,7 @@
             Err(refusal) => return self.reply_refused(id, &refusal),
         };
         let execution = self.execution(operation.clone(), id, body);
+        let attempts = execution.attempts.clone();
         let proxy = Arc::clone(&self.proxy);
         let outcome = match writes {
             true => proxy.forward_write(&execution).await,
@@ -444,7 +446,7 @@
                 self.reply_answer(&answer, Status::Idle);
             }
             Err(refusal) => {
-                proxy.refund(&operation, &refusal);
+                proxy.refund(&operation, &refusal, &attempts);
                 self.reply_refused(id, &refusal);
             }
         }
@@ -476,6 +478,7 @@
             watermark: self.watermark,
             deadline,
             counted: Counted::default(),
+            attempts: Attempts::default(),
         }
     }
 }
--- a/crates/hemlockcrank_wire/src/execution.rs
+++ b/crates/hemlockcrank_wire/src/execution.rs
@@ -216,6 +216,8 @@
     pub retry_after_ms: Option<u64>,
     /// Transaction status: `Idle` if the transaction was not opened, `Failed` if it has ended.
     pub status: Status,
+    /// Whether a member may have run the statement.
+    pub may_have_run: bool,
 }
 
 /// Why a host does not run an operation for another one. Nothing has run.
