Spillover: the begin of a read-only transaction is recorded, and no read is counted that is not sent

A transaction that began in another zone left the zone waiting for an answer, so 400 ms later the zone was closed without need. The same followed from a read whose attempts were used up.

--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -82,13 +82,15 @@
             }
             let host_state = self.host_state();
             execution.operation.check_permitted(&host_state, false)?;
-            let choice = self.choose(
-                &host_state,
-                &execution.operation,
-                execution.watermark,
-                &tried,
-            );
-            let choice = choice.filter(|_| attempts < MAX_ATTEMPTS);
+            let choice = match attempts < MAX_ATTEMPTS {
+                true => self.choose(
+                    &host_state,
+                    &execution.operation,
+                    execution.watermark,
+                    &tried,
+                ),
+                false => None,
+            };
             let wait = match choice {
                 Some(choice) => {
                     attempts += 1;
--- a/crates/hemlockcrank_host/src/engine/transaction.rs
+++ b/crates/hemlockcrank_host/src/engine/transaction.rs
@@ -18,6 +18,7 @@
     pool::{InFlight, PooledConnection},
     primaries::Guard,
     read::FullMembers,
+    spillover::ReadEnd,
 };
 use crate::clock::now_ms;
 
@@ -173,8 +174,25 @@
                 Some(choice) => {
                     let member = choice.name.clone();
                     tried.push(member.clone());
-                    match self.begin_at(proxy, execution, choice).await {
-                        Ok(pinned) => return Ok(pinned),
+                    let begun = self.begin_at(proxy, execution, &choice).await;
+                    let end = match &begun {
+                        Err(AttemptError::Full(_) | AttemptError::Lost) => ReadEnd::Failed {
+                            began_at: now,
+                            objective_ms: self.operation.route.objective_ms,
+                        },
+                        // The time of a begin says nothing of that of a read.
+                        _ => ReadEnd::Abandoned,
+                    };
+                    proxy.record_read_end(service, &choice, end);
+                    match begun {
+                        Ok((pooled, in_flight)) => {
+                            return Ok(PinnedConnection {
+                                pooled,
+                                guard: choice.guard,
+                                leave_at: None,
+                                _in_flight: in_flight,
+                            });
+                        }
                         Err(AttemptError::Refused(refusal)) => return Err(refusal),
                         Err(AttemptError::Full(decision)) => {
                             trail.add(&member, "full");
@@ -212,8 +230,8 @@
         &self,
         proxy: &Arc<Proxy>,
         execution: &Execution,
-        choice: Choice,
-    ) -> Result<PinnedConnection, AttemptError> {
+        choice: &Choice,
+    ) -> Result<(PooledConnection, InFlight), AttemptError> {
         let service = &self.operation.route.service;
         let in_flight = choice.pool.track_in_flight();
         let permit = proxy.permit(&choice.pool, execution, false).await;
@@ -226,7 +244,7 @@
             Ok(pooled) => pooled,
             Err(error) => {
                 permit.finish(error.into());
-                proxy.record_unavailable(&choice, service, error);
+                proxy.record_unavailable(choice, service, error);
                 return Err(AttemptError::NotRun(<&str>::from(error).into()));
             }
         };
@@ -271,12 +289,7 @@
             });
         }
         proxy.count_operation(execution, sent_at);
-        Ok(PinnedConnection {
-            pooled,
-            guard: choice.guard,
-            leave_at: None,
-            _in_flight: in_flight,
-        })
+        Ok((pooled, in_flight))
     }
 
     /// Runs a statement on the pinned connection; retries while the member is busy.
