--- a/crates/hemlockcrank_host/src/engine/read.rs
+++ b/crates/hemlockcrank_host/src/engine/read.rs
@@ -82,13 +82,15 @@
             }
             let host_state = self.host_state();
             execution.operation.check_permitted(&host_state, false)?;
-            let choice = self.choose(
-                &host_state,
-                &execution.operation,
-                execution.watermark,
-                &tried,
-            );
-            let choice = choice.filter(|_| attempts < MAX_ATTEMPTS);
+            let choice = match attempts < MAX_ATTEMPTS {
+                true => self.choose(
+                    &host_state,
+                    &execution.operation,
+                    execution.watermark,
+                    &tried,
+                ),
+                false => None,
+            };
             let wait = match choice {
                 Some(choice) => {
                     attempts += 1;
@@ -268,11 +270,12 @@
         let Some(query) = execution.query(connection, after) else {
             return Err(AttemptError::NotRun("not prepared".into()));
         };
+        execution.attempts.begin();
         match timeout(execution.time_left(sent_at), connection.run(&query)).await {
             Ok(Ok(answer)) => {
-                let has_run = !matches!(&answer.outcome, Err((code, _)) if code.is_not_run());
-                if has_run {
-                    self.count_operation(execution, sent_at);
+                match &answer.outcome {
+                    Err((code, _)) if code.is_not_run() => execution.attempts.cancel(),
+                    _ => self.count_operation(execution, sent_at),
                 }
                 Ok((sent_at, answer))
             }
