Usage reports: the leader keeps a bounded number of open windows

While the platform takes no window and the ledger is full, the leader kept the totals of all later windows. It now keeps the newest 120 of each process, as the hosts do.

--- a/crates/hemlockcrank_core/src/metering.rs
+++ b/crates/hemlockcrank_core/src/metering.rs
@@ -34,6 +34,9 @@
 /// counts once the member has answered.
 const LONGEST_OPERATION_MS: u64 = 2_000;
 
+/// Largest number of windows of one process that are kept while no leader closes any.
+const MAX_WINDOWS: usize = 120;
+
 /// Windows of a site, and when they are due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Windows {
--- a/crates/hemlockcrank_core/src/metering/collector.rs
+++ b/crates/hemlockcrank_core/src/metering/collector.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Counts, Tally, tally::raise};
+use super::{Counts, MAX_WINDOWS, Tally, tally::raise};
 use crate::membership::{HostId, View};
 
 /// Totals of one process.
@@ -21,7 +21,8 @@
 }
 
 impl Collector {
-    /// Notes a report. Windows that are closed or later than `newest` are left out.
+    /// Notes a report. Windows that are closed or later than `newest` are left out. Like the process itself,
+    /// it keeps the newest [`MAX_WINDOWS`] windows while none is closed.
     pub fn note(&mut self, id: &HostId, tally: &Tally, newest: u64) {
         let process = self.processes.entry(id.clone()).or_default();
         let complete_ms = tally.complete_ms.unwrap_or(0);
@@ -33,6 +34,9 @@
                 raise(known, counts.clone());
             }
         }
+        while process.windows.len() > MAX_WINDOWS {
+            process.windows.pop_first();
+        }
     }
 
     /// Whether all hosts of the view that serve callers have sent all totals at or after `true_ms`, and so
--- a/crates/hemlockcrank_core/src/metering/counter.rs
+++ b/crates/hemlockcrank_core/src/metering/counter.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::{Counts, Reading, Tally, Windows};
+use super::{Counts, MAX_WINDOWS, Reading, Tally, Windows};
 use crate::Name;
 
 /// Number of answers of which the best one counts. A correction backward takes effect after as many.
@@ -16,8 +16,6 @@
 /// Interval at which all totals are repeated, in milliseconds. It replaces reports that were lost on the
 /// way from a relay to the leader.
 const REPEAT_MS: u64 = 2_000;
-/// Largest number of windows that are kept while no leader closes any.
-const MAX_WINDOWS: usize = 120;
 /// Length of the periods in which operations are counted before the time is known, in milliseconds.
 const UNDATED_MS: u64 = 100;
 /// Largest number of such periods.
--- a/crates/hemlockcrank_core/tests/metering/collecting.rs
+++ b/crates/hemlockcrank_core/tests/metering/collecting.rs
@@ -158,3 +158,22 @@
     assert_eq!((usage.complete_ms, usage.age_ms), (Some(90), 50));
     assert_eq!(followers.list(300, &View::default())[0].usage, None);
 }
+
+/// Guards against a leader whose memory grows for as long as the platform takes no window and none can be
+/// closed.
+#[test]
+fn the_totals_of_a_process_are_kept_for_a_bounded_number_of_windows() {
+    let mut collector = Collector::default();
+    let id = id("a", 1);
+    for window in FIRST..FIRST + 1_000 {
+        let report = Tally {
+            windows: vec![(window, counts(1))],
+            ..Tally::default()
+        };
+        collector.note(&id, &report, u64::MAX);
+    }
+
+    let kept = (FIRST..FIRST + 1_000).filter(|window| !collector.counts(*window).is_empty());
+    assert_eq!(kept.count(), 120);
+    assert_eq!(collector.counts(FIRST + 999), counts(1));
+}
