--- a/crates/hemlockcrank_core/src/budget.rs
+++ b/crates/hemlockcrank_core/src/budget.rs
@@ -256,10 +256,12 @@
         }
     }
 
-    /// Whether large messages are read no further for now, because connections that were chosen still
-    /// hold much.
-    pub fn must_wait(&self) -> bool {
-        self.closing_bytes > self.limits.bytes / CLOSING_DIVISOR
+    /// Whether a large message of this account is read no further for now, because connections that were
+    /// chosen still hold much. Our own hosts never wait for clients.
+    pub fn must_wait(&self, id: Id) -> bool {
+        let account = self.accounts.get(&id);
+        let is_trusted = account.is_some_and(|account| account.is_trusted);
+        !is_trusted && self.closing_bytes > self.limits.bytes / CLOSING_DIVISOR
     }
 
     /// Connections whose message has not been completed, or whose answer has not been taken, in time.
--- a/crates/hemlockcrank_core/tests/budget.rs
+++ b/crates/hemlockcrank_core/tests/budget.rs
@@ -165,6 +165,20 @@
     assert_eq!(closing.map(|closing| closing.id), Some(10));
 }
 
+/// Guards against clients that delay the messages of our own hosts.
+#[test]
+fn trusted_connections_are_read_while_chosen_ones_are_closed() {
+    let (mut budget, accounts) = budget_with(2);
+    let (host, _) = budget.open(0, Port::Peers);
+    budget.trust(host);
+    budget.hold(0, accounts[0], 900 * KB);
+
+    budget.hold(1, accounts[1], 200 * KB);
+
+    assert!(budget.must_wait(accounts[1]));
+    assert!(!budget.must_wait(host));
+}
+
 /// Guards against bytes of closed connections that stay in the sum.
 #[test]
 fn closed_accounts_hold_nothing() {
@@ -183,13 +197,13 @@
 fn reading_waits_until_chosen_connections_are_closed() {
     let (mut budget, accounts) = budget_with(2);
     budget.hold(0, accounts[0], 900 * KB);
-    assert!(!budget.must_wait());
+    assert!(!budget.must_wait(accounts[1]));
 
     budget.hold(1, accounts[1], 200 * KB);
 
-    assert!(budget.must_wait());
+    assert!(budget.must_wait(accounts[1]));
     budget.close(accounts[0]);
-    assert!(!budget.must_wait());
+    assert!(!budget.must_wait(accounts[1]));
 }
 
 /// Guards against values and prepared statements that sessions keep, and against a time limit on them.
--- a/crates/hemlockcrank_host/src/budget.rs
+++ b/crates/hemlockcrank_host/src/budget.rs
@@ -99,9 +99,9 @@
         self.message_limit
     }
 
-    /// Whether large messages are read no further for now.
-    fn must_wait(&self) -> bool {
-        lock(&self.state).budget.must_wait()
+    /// Whether a large message of this account is read no further for now.
+    fn must_wait(&self, id: Id) -> bool {
+        lock(&self.state).budget.must_wait(id)
     }
 
     /// Opens the account of a connection; closes another one if the port has too many.
--- a/crates/hemlockcrank_host/src/budget/account.rs
+++ b/crates/hemlockcrank_host/src/budget/account.rs
@@ -126,7 +126,7 @@
 
     /// Whether more of a message of this length is read only later.
     pub(super) fn must_wait(&self, length: usize) -> bool {
-        length > UNHINDERED_BYTES && self.budget.must_wait()
+        length > UNHINDERED_BYTES && self.budget.must_wait(self.id)
     }
 
     /// Waits until more of a message of this length may be read, or the connection has to be closed.
