--- a/crates/hemlockcrank_host/src/control/actor.rs
+++ b/crates/hemlockcrank_host/src/control/actor.rs
@@ -305,7 +305,10 @@
             } => self.note_usage_answer(leadership, number, answer),
             Message::Drain => self.draining = true,
             Message::Leave => {
-                self.poll(now_ms(), true);
+                // Sends the last totals of usage, because no poll follows.
+                if self.settings.windows().is_some() {
+                    self.poll(now_ms(), true);
+                }
                 self.leaving = true;
             }
             Message::Status(port) => reply(port, self.status()),
