--- a/crates/hemlockcrank_host/src/engine/forward.rs
+++ b/crates/hemlockcrank_host/src/engine/forward.rs
@@ -59,7 +59,7 @@
 enum Reply {
     /// A member has answered.
     Answered(Answer),
-    /// Refused; the transaction, if any, is open at the executor if `is_open`.
+    /// Refused; `begun` is whether the transaction, if any, has begun at the executor.
     Refused { refusal: Refusal, begun: bool },
     /// Not run, and another host may run it; with the reason for the log.
     NotRun(String),
