--- a/crates/hemlockcrank_core/src/metering/collector.rs
+++ b/crates/hemlockcrank_core/src/metering/collector.rs
@@ -22,7 +22,7 @@
 
 impl Collector {
     /// Notes a report. Windows that are closed or later than `newest` are left out. Like the process itself,
-    /// it keeps the newest [`MAX_WINDOWS`] windows while none is closed.
+    /// it keeps a limited number of the newest windows while none is closed.
     pub fn note(&mut self, id: &HostId, tally: &Tally, newest: u64) {
         let process = self.processes.entry(id.clone()).or_default();
         let complete_ms = tally.complete_ms.unwrap_or(0);
--- a/crates/hemlockcrank_host/src/control.rs
+++ b/crates/hemlockcrank_host/src/control.rs
@@ -1,6 +1,6 @@
 //! The control actor, which applies the committed log and publishes the resulting state.
 //!
-//! [`start`] runs a `ractor` actor on its own thread. The rest of the process sends it messages
+//! `start` runs a `ractor` actor on its own thread. The rest of the process sends it messages
 //! through [`Control`] and reads the state that it publishes as an immutable [`HostState`];
 //! requests of callers never wait for the actor.
 //!
