A leaving primary is replaced although an earlier leader's call for it is open

Callers saw a service without a primary: the primary said that it leaves and left ten seconds later without a successor.

Cause: after a change of leader during a change of primary, Calls::allow_change let no planned change begin until the earlier leader's call was settled (10 s after its host's return, 15 s without it), although the call named the member that was the primary by then. Ruled out: that the platform's answer to another call settles it (the earlier leader may have made two); a slow platform.

Change: a call that has ended at its sender and names the present primary holds up no planned change. Its member becomes a witness, so a late promotion of it loses nothing.

--- a/crates/hemlockcrank_core/src/succession/calls.rs
+++ b/crates/hemlockcrank_core/src/succession/calls.rs
@@ -218,18 +218,29 @@
         open.all(|call| call.is_waited_out(now, GIVE_UP_MS))
     }
 
-    /// Whether another change may begin: no call can be carried out any more, or its sender has been
-    /// silent for too long.
+    /// Whether a planned change may begin: no call can be carried out any more, or its sender has been
+    /// silent for too long, or it names the primary.
     pub(super) fn allow_change(&self, now: u64) -> bool {
         let mut open = self.open.iter();
-        open.all(|call| call.is_waited_out(now, ABSENT_MS))
+        open.all(|call| call.is_waited_out(now, ABSENT_MS) || self.names_primary(now, call))
     }
 
     /// Whether this member may be promoted: no call that names another member can be carried out any
-    /// more, also if that member has left the group, or the sender has been silent for too long.
-    pub(super) fn allow(&self, now: u64, member: &Name) -> bool {
+    /// more, also if that member has left the group, or the sender has been silent for too long. In a
+    /// planned change a call may name the old primary, which runs.
+    pub(super) fn allow(&self, now: u64, member: &Name, planned: bool) -> bool {
         let mut others = self.open.iter().filter(|call| call.member != *member);
-        others.all(|call| call.is_waited_out(now, ABSENT_MS))
+        others.all(|call| {
+            call.is_waited_out(now, ABSENT_MS) || (planned && self.names_primary(now, call))
+        })
+    }
+
+    /// Whether a call names the member that was primary when the latest change began or ended, and has
+    /// ended at its sender. It changes nothing while that member leads; once another one does, the member
+    /// is a witness.
+    fn names_primary(&self, now: u64, call: &Call) -> bool {
+        let has_ended = call.state != CallState::Awaited && !call.may_arrive(now);
+        has_ended && self.primary.as_ref() == Some(&call.member)
     }
 
     /// Members of calls that may still be carried out although their senders are not waited for any
--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -151,7 +151,8 @@
             self.calls.forget_not_running();
             return self.call(now, inputs, term, nominee);
         }
-        if !self.calls.allow(now, &candidate) || self.calls.await_earlier(now) {
+        let is_allowed = self.calls.allow(now, &candidate, change.planned);
+        if !is_allowed || self.calls.await_earlier(now) {
             return None;
         }
         let nominee = Nominee {
--- a/crates/hemlockcrank_core/tests/succession/late_calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/late_calls.rs
@@ -2,7 +2,7 @@
 //! and the link holds its bytes until the cut ends.
 
 use hemlockcrank_core::{
-    group::{Age, Edit},
+    group::{Age, Edit, Standing},
     succession::Order,
 };
 
@@ -221,6 +221,53 @@
     assert_eq!(site.change(), None);
 }
 
+/// Guards against a primary that leaves without a successor: the call that made it the primary was an
+/// earlier leader's, and no planned change began until it was settled.
+#[test]
+fn a_leaving_primary_is_replaced_although_the_call_that_named_it_is_open() {
+    let mut site = Site::new();
+    site.platform = Some(held_platform(0));
+    let first = begin_change_until_the_call(&mut site);
+    site.cut_leader_off(3_500);
+    run_saving(&mut site, 4_000);
+    assert_eq!(*site.lead().member, *first);
+
+    site.platform = Some(Platform {
+        answer_ms: Some(600),
+        ..held_platform(0)
+    });
+    site.announce(&first, Standing::Leaving);
+    run_saving(&mut site, 4_000);
+
+    assert_eq!(site.change(), None);
+    assert_ne!(*site.lead().member, *first);
+    assert_eq!(site.late_tokens, []);
+}
+
+/// Guards against lost commits when such a call is carried out after the hand-over: the member that it
+/// names receives nothing while saves go on.
+#[test]
+fn a_call_for_the_old_primary_of_a_planned_change_promotes_no_member_that_lacks_a_commit() {
+    let mut site = Site::new();
+    site.platform = Some(slow_platform(0, 8_000));
+    let first = begin_change_until_the_call(&mut site);
+    site.cut_leader_off(1_000);
+    site.platform = None;
+    run_saving(&mut site, 2_500);
+    assert_eq!(*site.lead().member, *first);
+
+    site.announce(&first, Standing::Leaving);
+    run_saving(&mut site, 2_000);
+    let replaced = site.lead().member.to_string();
+    site.member(&first).cut_from_members = true;
+    run_saving(&mut site, 4_000);
+    site.member(&first).cut_from_members = false;
+    run_saving(&mut site, 4_000);
+
+    assert_ne!(replaced, first);
+    assert_eq!(site.change(), None);
+}
+
 /// Guards against a wait for a call that was never made: its leader failed right after the nomination.
 #[test]
 fn a_nomination_and_the_intent_to_call_are_one_step() {
--- a/crates/hemlockcrank_core/tests/succession/random.rs
+++ b/crates/hemlockcrank_core/tests/succession/random.rs
@@ -2,7 +2,7 @@
 //! asserts at each promotion that no acknowledged commit is lost. The test asserts that the group
 //! has a primary again after a period without faults.
 
-use hemlockcrank_core::Name;
+use hemlockcrank_core::{Name, group::Standing};
 use rand_chacha::{
     ChaCha8Rng,
     rand_core::{Rng, SeedableRng},
@@ -153,9 +153,21 @@
 /// Length of a cut after which the leader is given up, in milliseconds.
 const LONG_CUT_MS: u32 = 40_000;
 
+/// The primary is to leave; the others are ready.
+fn order_handover(site: &mut Site) {
+    let primary = site.lead().member.clone();
+    for name in MEMBERS {
+        let standing = match *primary == *name {
+            true => Standing::Leaving,
+            false => Standing::Ready,
+        };
+        site.announce(name, standing);
+    }
+}
+
 /// Runs with leaders that are cut off in series, for up to `longest_ms`, while calls of theirs are on
-/// their way; the calls arrive when the cut ends.
-fn run_with_cuts(seed: u64, longest_ms: u32) -> Site {
+/// their way; the calls arrive when the cut ends. With `handovers`, primaries are to be replaced as well.
+fn run_with_cuts(seed: u64, longest_ms: u32, handovers: bool) -> Site {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut site = Site::new();
     for _ in 0..2 * FAULTY_TICKS {
@@ -169,6 +181,9 @@
         if one_in(&mut random, 200) || (site.nominee().is_some() && one_in(&mut random, 15)) {
             site.cut_leader_off(u64::from(random.next_u32() % longest_ms));
         }
+        if handovers && one_in(&mut random, 100) {
+            order_handover(&mut site);
+        }
         run_host(&mut site, &mut random);
         site.tick(|_| one_in(&mut random, 12));
     }
@@ -185,7 +200,7 @@
 #[rstest]
 fn calls_of_leaders_that_were_cut_off_lose_no_commit(#[values(0, 1, 2, 3)] block: u64) {
     for seed in block * 20..(block + 1) * 20 {
-        let site = run_with_cuts(seed, SHORT_CUT_MS);
+        let site = run_with_cuts(seed, SHORT_CUT_MS, false);
 
         assert_eq!(site.late_tokens, [], "seed {seed}");
         assert_eq!(site.change(), None, "seed {seed}: {site:#?}");
@@ -196,12 +211,24 @@
 #[rstest]
 fn calls_of_leaders_that_were_given_up_lose_no_commit(#[values(0, 1, 2, 3)] block: u64) {
     for seed in block * 20..(block + 1) * 20 {
-        let site = run_with_cuts(seed, LONG_CUT_MS);
+        let site = run_with_cuts(seed, LONG_CUT_MS, false);
 
         assert_eq!(site.change(), None, "seed {seed}: {site:#?}");
     }
 }
 
+/// Guards against the same beside planned changes, which don't wait for a call that names the primary.
+#[rstest]
+fn planned_changes_beside_calls_of_leaders_that_were_cut_off_lose_no_commit(
+    #[values(0, 1, 2, 3)] block: u64,
+) {
+    for seed in block * 20..(block + 1) * 20 {
+        let site = run_with_cuts(seed, SHORT_CUT_MS, true);
+
+        assert_eq!(site.late_tokens, [], "seed {seed}");
+    }
+}
+
 /// A host that has not heard of a change of primary goes on writing at the old primary.
 fn run_cut_off_host(site: &mut Site) {
     if site.change().is_some() && !site.fencing.complete {
