Replicas take over at once from a primary that left

Callers saw no primary for as long as 20 s, though all replicas were paused at the same position.

Cause: the departure of the primary was recorded like that of a replica, after which the proof by paused members is not used for up to 20 s. A primary is never the second copy of what is acknowledged in its own term. Ruled out: a silent replica (each answered with the same position); an open call.

Change: Groups::remove records the departure of members other than the primary.

Test: steps::replicas_take_over_at_once_from_a_primary_that_left failed before (no primary after 2 s) and passes; all tests of the core pass.

--- a/crates/hemlockcrank_core/src/group.rs
+++ b/crates/hemlockcrank_core/src/group.rs
@@ -101,7 +101,8 @@
     pub lead: Option<Lead>,
     /// Change of primary in progress.
     pub change: Option<Change>,
-    /// Log index at which a member was last removed.
+    /// Log index at which a member other than the primary was last removed. Its log may have been the
+    /// only second copy of a commit; the primary's is the first.
     pub last_departure: u64,
 }
 
@@ -390,7 +391,9 @@
         let Some(group) = service.and_then(|service| self.groups.get_mut(&service)) else {
             return false;
         };
-        group.last_departure = index;
+        if !group.is_primary(member) {
+            group.last_departure = index;
+        }
         group.members.remove(member).is_some()
     }
 
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -124,6 +124,30 @@
     );
 }
 
+/// Guards against a service without a primary although its replicas are all paused and equal: the primary
+/// itself has left, and was counted as a possible second copy of its own commits.
+#[test]
+fn replicas_take_over_at_once_from_a_primary_that_left() {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    site.member("a").down = true;
+    let age = Age {
+        born: 1,
+        seq: u64::MAX,
+    };
+
+    site.commit(Edit::Depart {
+        member: "a".into(),
+        age,
+    });
+    site.ticks(TICKS_PER_SECOND);
+    site.release(false);
+    site.ticks(TICKS_PER_SECOND);
+
+    assert_eq!(site.change(), None);
+    assert_ne!(&*site.lead().member, "a");
+}
+
 /// The host is cut off together with the primary and the departing replica, so the leader doesn't
 /// know which commits the host has acknowledged with these two.
 #[test]
