A sample bounds what departed hosts acknowledged, not ten seconds without a change of view

Cause: the proof by reports needs all hosts that may have acknowledged; a wait of 10 s without a change of view stood for those that had left, and a new leader's empty memory for those that earlier leaders had heard.

Change: a position of the primary sampled after they could last act bounds what they acknowledged; without one the proof does not hold. Hosts that had released the primary before they left have reported everything.

--- a/crates/hemlockcrank_core/src/observation.rs
+++ b/crates/hemlockcrank_core/src/observation.rs
@@ -5,6 +5,7 @@
 //! primary that is being replaced, how far commits have been acknowledged, and the newest samples
 //! of [`crate::floor`].
 
+mod departure;
 mod merge;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
     succession::Fencing,
 };
 
+use departure::Departure;
 pub use merge::merge;
 
 /// Age after which a host's observation no longer counts as a success or failure, in milliseconds.
@@ -91,17 +93,46 @@
     uses: BTreeMap<Name, BTreeMap<Name, Use>>,
     acknowledged: BTreeMap<Name, Position>,
     floors: BTreeMap<Name, Floor>,
+    /// Until when hosts that left under earlier leaders may have acknowledged commits.
+    earlier: Departure,
+    /// The same for hosts that left under this leader, by service.
+    departures: BTreeMap<Name, Departure>,
 }
 
 impl Observations {
-    /// Starts empty, for the leader of that term.
-    pub fn new(leader_term: u64) -> Self {
+    /// Starts empty, for the leader of that term. Hosts that left the view before may have acknowledged
+    /// commits until `acting_until`; 0 if there were none.
+    pub fn new(leader_term: u64, acting_until: u64) -> Self {
         Self {
             leader_term,
+            earlier: Departure::new(acting_until),
             ..Self::default()
         }
     }
 
+    /// Notes processes of hosts that left the view, and that may use the primary of `service` until
+    /// `acting_until`. One that has released it for `change` has reported all that it acknowledged.
+    pub fn note_departures(
+        &mut self,
+        service: &Name,
+        hosts: &[Name],
+        change: Option<u64>,
+        acting_until: u64,
+    ) {
+        let has_left_unheard = hosts
+            .iter()
+            .any(|host| !self.has_released(service, host, change));
+        if has_left_unheard {
+            self.departures
+                .insert(service.clone(), Departure::new(acting_until));
+        }
+    }
+
+    fn has_released(&self, service: &str, host: &str, change: Option<u64>) -> bool {
+        let used = self.uses.get(service).and_then(|hosts| hosts.get(host));
+        used.is_some_and(|used| change.is_some() && used.released == change)
+    }
+
     /// Drops the observations of hosts that are no longer in view, but not the positions that these
     /// hosts have acknowledged.
     pub fn retain_hosts<F>(&mut self, in_view: F)
@@ -142,8 +173,7 @@
                 && leader_term == self.leader_term
                 && sample.at <= now
             {
-                let floor = self.floors.entry(service.clone()).or_default();
-                floor.add(observation.term, sample);
+                self.add_sample(&service, observation.term, sample);
             }
             let hosts = self.received.entry(service).or_default();
             let received = TimedObservation {
@@ -154,8 +184,11 @@
         }
     }
 
-    /// Adds a sample that the control leader has taken itself.
+    /// Adds a sample in the leader's clock.
     pub fn add_sample(&mut self, service: &Name, term: u64, sample: Sample) {
+        let earlier = self.earlier;
+        let departure = self.departures.entry(service.clone()).or_insert(earlier);
+        departure.note_sample(sample);
         let floor = self.floors.entry(service.clone()).or_default();
         floor.add(term, sample);
     }
@@ -191,21 +224,19 @@
         I: IntoIterator<Item = (&'a Name, u64)>,
     {
         let change = group.change.map(|change| change.index);
-        let uses = self.uses.get(service);
-        let released = |host: &Name| {
-            let used = uses.and_then(|hosts| hosts.get(host));
-            used.is_some_and(|used| change.is_some() && used.released == change)
-        };
+        let departure = self.departures.get(service).unwrap_or(&self.earlier);
+        let departed = departure.bound();
         let mut complete = true;
-        let mut confirmed = true;
+        let mut confirmed = departed.is_some();
         for (host, lease_ends_at) in hosts {
-            let has_released = released(host);
+            let has_released = self.has_released(service, host, change);
             confirmed &= has_released;
             complete &= has_released || now >= lease_ends_at;
         }
         Fencing {
             complete,
             confirmed,
+            departed: departed.unwrap_or_default(),
             acknowledged: self.acknowledged.get(service).copied().unwrap_or_default(),
         }
     }
--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -96,8 +96,12 @@
 pub struct Fencing {
     /// No host can act on the old term any more: each has released it or its lease has expired.
     pub complete: bool,
-    /// Every host has confirmed its release, so `acknowledged` covers all of them.
+    /// Every host has confirmed its release, so `acknowledged` covers all of them, and `departed` those
+    /// that left the view before.
     pub confirmed: bool,
+    /// Position past which hosts that left the view have acknowledged nothing, if `confirmed`. It may
+    /// include commits that were never acknowledged.
+    pub departed: Position,
     /// Newest commit that any host has reported as acknowledged.
     pub acknowledged: Position,
 }
--- a/crates/hemlockcrank_core/src/succession/proof.rs
+++ b/crates/hemlockcrank_core/src/succession/proof.rs
@@ -21,6 +21,13 @@
         Some(bound.position)
     }
 
+    /// Position past which no host has acknowledged a commit, once all have reported.
+    fn reported(&self) -> Option<Position> {
+        let fencing = self.fencing;
+        let reported = fencing.acknowledged.max(fencing.departed);
+        fencing.confirmed.then_some(reported)
+    }
+
     /// Lowest position that the log of a member with every acknowledged commit may end at, as far as
     /// hosts and the committed bound say.
     fn least(&self) -> Position {
@@ -50,9 +57,7 @@
     pub(super) fn provable_bound(&self, inputs: &Inputs<'_>) -> Option<Position> {
         let last = self.frozen(inputs, |_, latest| latest.fenced);
         let last = last.map(|(position, _)| position);
-        let acknowledged = inputs.fencing.acknowledged;
-        let reported = inputs.fencing.confirmed.then_some(acknowledged);
-        let proved = [self.final_position(inputs), last, reported];
+        let proved = [self.final_position(inputs), last, inputs.reported()];
         proved.into_iter().flatten().min()
     }
 
@@ -126,11 +131,11 @@
             if received < inputs.fencing.acknowledged {
                 return false;
             }
-            let is_reported = final_position.is_none() && inputs.fencing.confirmed && latest.fenced;
+            let is_reported = latest.fenced && reaches(inputs.reported());
             reaches(inputs.final_bound())
                 || reaches(final_position)
                 || reaches(paused.map(|(position, _)| position))
-                || is_reported
+                || (is_reported && final_position.is_none())
         };
         let others = others(inputs.group);
         others
--- a/crates/hemlockcrank_core/tests/following/relays.rs
+++ b/crates/hemlockcrank_core/tests/following/relays.rs
@@ -224,7 +224,7 @@
         };
         observations.record_uses(host, vec![used]);
     };
-    let mut observations = Observations::new(1);
+    let mut observations = Observations::new(1, 0);
 
     released(&hosts[0], &mut observations);
     let one = observations.fencing(100, "ledger", &group, lease_ends());
@@ -251,13 +251,13 @@
             })
             .collect();
         let now = 10_000;
-        let mut direct = Observations::new(1);
+        let mut direct = Observations::new(1, 0);
         for (number, (age_ms, report)) in reports.iter().enumerate() {
             let host: Name = format!("follower-{number}").into();
             direct.record(now - age_ms, &host, vec![report.clone()]);
         }
 
-        let mut relayed = Observations::new(1);
+        let mut relayed = Observations::new(1, 0);
         let merged = merge(reports.iter().map(|(age_ms, report)| (*age_ms, report)));
         relayed.record(now, &"relay".into(), merged);
 
--- a/crates/hemlockcrank_core/tests/site.rs
+++ b/crates/hemlockcrank_core/tests/site.rs
@@ -354,7 +354,7 @@
 
 #[test]
 fn a_success_on_one_host_clears_the_failures_on_others() {
-    let mut observations = Observations::new(1);
+    let mut observations = Observations::new(1, 0);
     observations.record(1_000, &"h1".into(), vec![observation(Some(400), None)]);
     assert_eq!(observations.failing_ms(1_000, "s", 1), Some(400));
 
@@ -365,7 +365,7 @@
 
 #[test]
 fn a_host_that_does_not_report_is_fenced_once_its_lease_expires_but_never_confirmed() {
-    let observations = Observations::new(1);
+    let observations = Observations::new(1, 0);
     let mut state = State::default();
     announce(&mut state, notice("a", 1, 1, 1));
     let begin = Edit::Begin {
@@ -386,7 +386,7 @@
 
 #[test]
 fn samples_in_another_leaders_clock_are_dropped() {
-    let mut observations = Observations::new(2);
+    let mut observations = Observations::new(2, 0);
     let mut old = observation(None, Some(1));
     old.sample = Some((1, sample(500, 9)));
     let mut current = observation(None, Some(1));
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -94,6 +94,24 @@
     assert_eq!(&*site.lead().member, "b");
 }
 
+/// Guards against a lost commit that a host had acknowledged before it left the view.
+#[test]
+fn a_replica_that_lacks_what_departed_hosts_may_have_acknowledged_is_not_promoted() {
+    let mut site = Site::new();
+    site.write("a", &["b"]);
+    site.member("a").down = true;
+    site.member("b").down = true;
+    site.failing_ms = Some(500);
+
+    site.ticks(TICKS_PER_SECOND);
+    site.release(true);
+    site.fencing.acknowledged = Position::default();
+    site.fencing.departed = Position::new(1, 1);
+    site.ticks(4 * TICKS_PER_SECOND);
+
+    assert!(site.change().is_some(), "`c` lacks the commit");
+}
+
 #[test]
 fn a_commit_whose_only_second_copy_departed_is_not_lost() {
     let mut site = Site::new();
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -35,8 +35,8 @@
         else {
             return Ok(());
         };
-        coordinator.note_view(now, &self.state.view);
         let groups = Arc::clone(&self.state.groups);
+        coordinator.note_view(now, &self.state.view, &groups);
         let participants = participants(node, &self.host.name);
         let mut orders = Vec::new();
         let catalog = &self.state.catalog;
@@ -54,7 +54,9 @@
                 sync_replicas: settings.map_or(1, |settings| settings.sync_replicas),
                 bound: self.state.bounds.get(service),
                 fencing: match group.change {
-                    Some(_) => coordinator.settled(now, service, group, lease_ends),
+                    Some(_) => coordinator
+                        .observations
+                        .fencing(now, service, group, lease_ends),
                     None => Fencing::default(),
                 },
                 failing_ms: coordinator.observations.failing_ms(now, service, term),
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -17,23 +17,21 @@
 use hemlockcrank_core::{
     Name,
     connections::{Capacity, Fleet},
-    group::{Group, Groups},
+    group::Groups,
     membership::View,
     observation::Observations,
     share::Shares,
     state::State,
-    succession::{Fencing, Order, OrderReply, Succession},
+    succession::{Order, OrderReply, Succession},
 };
 
 use hemlockcrank_wire::{Division, Fetch};
 
-use super::{Authority, CallReport, Promotion, Submission, reporting::Reporting};
+use super::{
+    Authority, CallReport, Promotion, Submission, reporting::Reporting, supervisor::lease_end,
+};
 use crate::clock::now_ms;
 
-/// Time after a change of the view in which the hosts' reports on commits may be incomplete, in
-/// milliseconds.
-const VIEW_SETTLE_MS: u64 = 10_000;
-
 /// Time after the start of a leadership within which every host has reported, in milliseconds.
 const REPORTS_MS: u64 = 3_000;
 
@@ -100,7 +98,6 @@
     /// Reports of usage, on sites that have them.
     pub(crate) reporting: Option<Reporting>,
     view: Arc<View>,
-    view_changed_at: u64,
     successions: BTreeMap<Name, Succession>,
     /// Control hosts whose calls under earlier leaderships are waited for, by service.
     awaited_hosts: BTreeMap<Name, BTreeSet<Name>>,
@@ -116,11 +113,10 @@
         Self {
             term,
             started_at: now,
-            observations: Observations::new(term),
+            observations: Observations::new(term, lease_end(now)),
             lease_until: Arc::default(),
             reporting,
             view: Arc::default(),
-            view_changed_at: 0,
             successions: BTreeMap::new(),
             awaited_hosts: BTreeMap::new(),
             shares: BTreeMap::new(),
@@ -130,13 +126,24 @@
     }
 
     /// Notes the current view and drops the observations of hosts that left it.
-    pub(crate) fn note_view(&mut self, now: u64, view: &Arc<View>) {
-        if !Arc::ptr_eq(&self.view, view) {
-            self.view = Arc::clone(view);
-            self.view_changed_at = now;
-            self.observations
-                .retain_hosts(|host| view.get(host).is_some());
+    pub(crate) fn note_view(&mut self, now: u64, view: &Arc<View>, groups: &Groups) {
+        if Arc::ptr_eq(&self.view, view) {
+            return;
+        }
+        let last = std::mem::replace(&mut self.view, Arc::clone(view));
+        let left = last
+            .serving()
+            .filter(|host| view.find(&host.id()).is_none());
+        let left: Vec<Name> = left.map(|host| host.name.clone()).collect();
+        if !left.is_empty() {
+            for (service, group) in groups.iter() {
+                let change = group.change.map(|change| change.index);
+                self.observations
+                    .note_departures(service, &left, change, lease_end(now));
+            }
         }
+        self.observations
+            .retain_hosts(|host| view.get(host).is_some());
     }
 
     /// Divides the members' connections between the hosts by their use, except where there are too few
@@ -198,27 +205,6 @@
         Some(Division { version, shares })
     }
 
-    /// Whether all hosts have stopped using a primary, and the newest commit that they
-    /// acknowledged. A host that recently left or restarted may have acknowledged commits that no
-    /// other host saw, so the result is not exact until [`VIEW_SETTLE_MS`] after a change of the
-    /// view.
-    pub(crate) fn settled<'a, I>(
-        &self,
-        now: u64,
-        service: &str,
-        group: &Group,
-        lease_ends: I,
-    ) -> Fencing
-    where
-        I: IntoIterator<Item = (&'a Name, u64)>,
-    {
-        let settled = self.observations.fencing(now, service, group, lease_ends);
-        Fencing {
-            confirmed: settled.confirmed && now >= self.view_changed_at + VIEW_SETTLE_MS,
-            ..settled
-        }
-    }
-
     /// The succession of a service, which is created on first use.
     pub(crate) fn succession(&mut self, service: &Name, groups: &Groups) -> &mut Succession {
         self.successions
--- a/crates/hemlockcrank_host/src/control/supervisor.rs
+++ b/crates/hemlockcrank_host/src/control/supervisor.rs
@@ -54,6 +54,11 @@
     proposed: BTreeMap<Name, u64>,
 }
 
+/// When a lease that was granted at `now` at the latest has certainly ended.
+pub(crate) fn lease_end(now: u64) -> u64 {
+    now + lease::DURATION_MS + LEASE_MARGIN_MS
+}
+
 impl Supervisor {
     /// Starts a leadership: every host in the view counts as alive at `now`.
     pub(crate) fn begin(now: u64, state: &State) -> Self {
@@ -133,10 +138,9 @@
     ) -> impl Iterator<Item = (&'a Name, u64)> {
         state.view.iter().filter_map(|host| {
             let heartbeat = self.heartbeats.get(&host.name)?;
-            heartbeat.serves.then_some((
-                &host.name,
-                heartbeat.at + lease::DURATION_MS + LEASE_MARGIN_MS,
-            ))
+            heartbeat
+                .serves
+                .then_some((&host.name, lease_end(heartbeat.at)))
         })
     }
 
