A commit is noted as acknowledged in the step that checks the right to acknowledge it

A host checked its guard, then noted the commit; a release that was forced and reported between the two lacked the commit, and the proof by reports could miss it. Both are one step under one lock now.

--- a/crates/hemlockcrank_host/src/engine/primaries.rs
+++ b/crates/hemlockcrank_host/src/engine/primaries.rs
@@ -80,7 +80,11 @@
     pub(crate) fn is_current(&self) -> bool {
         let inner = lock(&self.primaries.inner);
         let primary = inner.services.get(&self.service);
-        primary.is_some_and(|primary| primary.epoch == self.epoch && primary.term == self.term)
+        primary.is_some_and(|primary| self.is_of(primary))
+    }
+
+    fn is_of(&self, primary: &Primary) -> bool {
+        primary.epoch == self.epoch && primary.term == self.term
     }
 
     /// Term of the primary.
@@ -214,12 +218,17 @@
         first
     }
 
-    /// Records the position of a commit that is about to be acknowledged to its caller.
-    pub(crate) fn record_acknowledged(&self, service: &Name, position: Position) {
+    /// Records the position of a commit that is about to be acknowledged to its caller; returns whether it
+    /// may be. A guard that has been revoked is refused in the same step, so each report of a release
+    /// comes after all that it covers.
+    pub(crate) fn record_acknowledged(&self, guard: &Guard, position: Position) -> bool {
         let mut inner = lock(&self.inner);
-        if let Some(primary) = inner.services.get_mut(service) {
-            primary.acknowledged = position.max(primary.acknowledged);
-        }
+        let primary = inner.services.get_mut(&guard.service);
+        let Some(primary) = primary.filter(|primary| guard.is_of(primary)) else {
+            return false;
+        };
+        primary.acknowledged = position.max(primary.acknowledged);
+        true
     }
 
     /// Lowest position that may serve a read that accepts data as of `since`.
--- a/crates/hemlockcrank_host/src/engine/witness.rs
+++ b/crates/hemlockcrank_host/src/engine/witness.rs
@@ -42,14 +42,13 @@
         let is_witnessed = self.is_witnessed(execution, commit).await;
         // Without authority a new primary may lack the commit. Authority may end during the wait for
         // witnesses, so it is checked after it.
-        if !is_witnessed || !guard.is_current() || !self.host_state().has_lease() {
+        if !is_witnessed || !self.host_state().has_lease() {
             return false;
         }
-        if let Some(position) = commit {
-            let service = &execution.operation.route.service;
-            self.primaries.record_acknowledged(service, position);
+        match commit {
+            Some(position) => self.primaries.record_acknowledged(guard, position),
+            None => guard.is_current(),
         }
-        true
     }
 
     /// Waits until every witness of the service has received a commit at this position, for as long
