--- a/crates/hemlockcrank_core/src/succession.rs
+++ b/crates/hemlockcrank_core/src/succession.rs
@@ -33,6 +33,7 @@
 
 mod calls;
 mod change;
+mod lack;
 mod open_orders;
 mod proof;
 
@@ -44,6 +45,7 @@
     session::Position,
 };
 use calls::Calls;
+pub use lack::Lack;
 use open_orders::OpenOrders;
 
 /// Interval between two orders to a member that answers, in milliseconds.
--- a/crates/hemlockcrank_core/src/succession/proof.rs
+++ b/crates/hemlockcrank_core/src/succession/proof.rs
@@ -30,7 +30,7 @@
 
     /// Lowest position that the log of a member with every acknowledged commit may end at, as far as
     /// hosts and the committed bound say.
-    fn least(&self) -> Position {
+    pub(super) fn least(&self) -> Position {
         let bound = self.bound.map(|bound| bound.position);
         self.fencing.acknowledged.max(bound.unwrap_or_default())
     }
--- a/crates/hemlockcrank_core/tests/succession/copies.rs
+++ b/crates/hemlockcrank_core/tests/succession/copies.rs
@@ -1,7 +1,11 @@
 //! Second copies of commits that are lost, and what the log says of them: no proof rests on what a process
 //! remembers, or on a wait.
 
-use hemlockcrank_core::group::{Edit, Standing};
+use hemlockcrank_core::{
+    group::{Bound, Edit, Standing},
+    session::Position,
+    succession::{Lack, Order},
+};
 
 use crate::{model::Site, steps::TICKS_PER_SECOND};
 
@@ -53,6 +57,7 @@
 
     assert!(site.change().is_some(), "nobody holds the commit");
     assert_eq!(site.promoted, []);
+    assert_eq!(site.lack, Some(Lack::Log));
 }
 
 /// Guards against the same when the only second copy was at a member that has started again under its
@@ -85,6 +90,7 @@
     site.release(false);
     site.ticks(LONG_S * TICKS_PER_SECOND);
     assert!(site.change().is_some(), "`a` and `c` lack the commit");
+    assert_eq!(site.lack, Some(Lack::Answers));
     site.member("b").cut_from_leader = false;
     site.ticks(4 * TICKS_PER_SECOND);
 
@@ -115,6 +121,7 @@
 
     assert!(site.change().is_some(), "`c` and `d` lack the commit");
     assert_eq!(site.promoted, ["b".into()]);
+    assert_eq!(site.lack, Some(Lack::Commits));
 }
 
 /// Guards against a departure within seconds of the loss of the primary: the wait for it was limited.
@@ -149,6 +156,7 @@
     site.ticks(2 * TICKS_PER_SECOND);
 
     assert_eq!(site.change(), None);
+    assert_eq!(site.lack, None);
 }
 
 /// What a change has proved stays proved when members leave before it ends.
@@ -159,7 +167,7 @@
     site.write("a", &["b", "c", "d"]);
     lose_primary(&mut site, "a");
     for _ in 0..TICKS_PER_SECOND {
-        site.tick(|order| matches!(order, hemlockcrank_core::succession::Order::Promote(..)));
+        site.tick(|order| matches!(order, Order::Promote(..)));
     }
     let nominee = site.nominee().expect("nominee");
     let other = ["b", "c", "d"].into_iter().find(|name| **name != *nominee);
@@ -174,10 +182,6 @@
 
 #[test]
 fn a_bound_from_before_the_newest_one_is_stale() {
-    use hemlockcrank_core::{
-        group::{Bound, Bounds},
-        session::Position,
-    };
     let mut site = Site::new();
     let bound = |index, number| Edit::Bound {
         service: "ledger".into(),
@@ -190,6 +194,6 @@
     site.commit(bound(9, 5));
     site.commit(bound(8, 7));
 
-    let newest = Bounds::get(&site.state.bounds, "ledger");
+    let newest = site.state.bounds.get("ledger");
     assert_eq!(newest.map(|bound| bound.position.index), Some(5));
 }
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -12,7 +12,7 @@
     group::{Age, Change, Edit, Group, Groups, Lead, Member, Notice, Standing},
     session::Position,
     state::{Command, State},
-    succession::{Fencing, Inputs, Order, OrderReply, Row, Succession},
+    succession::{Fencing, Inputs, Lack, Order, OrderReply, Row, Succession},
 };
 
 use platform::Call;
@@ -68,6 +68,8 @@
     pub(crate) state: State,
     pub(crate) members: BTreeMap<Name, SimMember>,
     pub(crate) succession: Succession,
+    /// What the change in progress lacks.
+    pub(crate) lack: Option<Lack>,
     pub(crate) fencing: Fencing,
     pub(crate) failing_ms: Option<u64>,
     pub(crate) acknowledged: Vec<Commit>,
@@ -106,6 +108,7 @@
             state: State::default(),
             members: BTreeMap::new(),
             succession: Succession::default(),
+            lack: None,
             fencing: Fencing::default(),
             failing_ms: None,
             acknowledged: Vec::new(),
@@ -328,6 +331,7 @@
             participants: &participants,
         };
         let orders = self.succession.tick(self.now, &inputs);
+        self.lack = self.succession.lack(self.now, &inputs);
         for order in orders {
             let lost = is_lost(&order);
             self.execute(&order, lost);
--- a/crates/hemlockcrank_host/src/control/actor/succession.rs
+++ b/crates/hemlockcrank_host/src/control/actor/succession.rs
@@ -68,6 +68,7 @@
             let new_orders = succession.tick(now, &facts);
             let frozen = succession.outgoing_sample(now, &facts);
             let arriving = succession.incoming_sample(now, &facts);
+            let lack = succession.lack(now, &facts);
             for (term, sample) in frozen.into_iter().chain(arriving) {
                 coordinator.observations.add_sample(service, term, sample);
             }
@@ -78,6 +79,12 @@
                     [("service", service), ("hosts", &format!("{hosts:?}"))];
                 self.timeline.emit(Event::PromotionWithheld, &fields);
             }
+            if coordinator.note_lack(service, lack) {
+                let lacks = lack.map_or("nothing".into(), |lack| lack.to_string());
+                let fields: [(&str, &dyn std::fmt::Display); 2] =
+                    [("service", service), ("lacks", &lacks)];
+                self.timeline.emit(Event::PromotionUnproved, &fields);
+            }
             orders.extend(new_orders.into_iter().map(|order| (service.clone(), order)));
         }
         for (service, order) in orders {
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -22,7 +22,7 @@
     observation::Observations,
     share::Shares,
     state::State,
-    succession::{Order, OrderReply, Succession},
+    succession::{Lack, Order, OrderReply, Succession},
 };
 
 use hemlockcrank_wire::{Division, Fetch};
@@ -101,6 +101,8 @@
     successions: BTreeMap<Name, Succession>,
     /// Control hosts whose calls under earlier leaderships are waited for, by service.
     awaited_hosts: BTreeMap<Name, BTreeSet<Name>>,
+    /// What changes of primary lack for a proof, by service.
+    lacks: BTreeMap<Name, Lack>,
     shares: BTreeMap<Name, Shares>,
     divided_at: u64,
     /// Number of changes of the division in this leadership.
@@ -119,6 +121,7 @@
             view: Arc::default(),
             successions: BTreeMap::new(),
             awaited_hosts: BTreeMap::new(),
+            lacks: BTreeMap::new(),
             shares: BTreeMap::new(),
             divided_at: 0,
             divisions: 0,
@@ -224,6 +227,15 @@
         Some(known)
     }
 
+    /// Notes what a change of primary lacks; returns whether that has changed.
+    pub(crate) fn note_lack(&mut self, service: &Name, lack: Option<Lack>) -> bool {
+        let last = match lack {
+            Some(lack) => self.lacks.insert(service.clone(), lack),
+            None => self.lacks.remove(service),
+        };
+        last != lack
+    }
+
     /// The request that makes `member` the primary.
     pub(crate) fn promotion(&self, service: &Name, member: Name, holder: Name) -> Promotion {
         Promotion {
--- a/crates/hemlockcrank_host/src/event.rs
+++ b/crates/hemlockcrank_host/src/event.rs
@@ -95,6 +95,8 @@
     PromotionWithheld = 315,
     /// A witness did not confirm in time that it has received a commit.
     WitnessMissed = 316,
+    /// A change of primary waits for a proof that some member holds every acknowledged commit.
+    PromotionUnproved = 317,
     /// The counts of a window were committed.
     UsageClosed = 320,
     /// The control leader sends a window to the platform.
