--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -118,14 +118,7 @@
     site.write("a", &["b"]);
     site.member("a").down = true;
     site.member("b").down = true;
-    let age = Age {
-        born: 1,
-        seq: u64::MAX,
-    };
-    site.commit(Edit::Depart {
-        member: "b".into(),
-        age,
-    });
+    site.depart("b");
     site.failing_ms = Some(500);
 
     site.ticks(TICKS_PER_SECOND);
@@ -149,15 +142,8 @@
     let mut site = Site::new();
     site.write("a", &["b", "c"]);
     site.member("a").down = true;
-    let age = Age {
-        born: 1,
-        seq: u64::MAX,
-    };
 
-    site.commit(Edit::Depart {
-        member: "a".into(),
-        age,
-    });
+    site.depart("a");
     site.ticks(TICKS_PER_SECOND);
     site.release(false);
     site.ticks(TICKS_PER_SECOND);
@@ -178,15 +164,8 @@
     site.failing_ms = Some(500);
     site.ticks(TICKS_PER_SECOND);
     site.release(false);
-    let age = Age {
-        born: 1,
-        seq: u64::MAX,
-    };
 
-    site.commit(Edit::Depart {
-        member: "b".into(),
-        age,
-    });
+    site.depart("b");
     site.announce("d", Standing::Ready);
     site.ticks(4 * TICKS_PER_SECOND);
     assert!(site.change().is_some(), "`c` and `d` lack the commit");
