What a process has released counts for that process alone

Reports were kept by host name. A host that starts again reports by its new process that it has released the old primary; until the view had changed, that counted for the process before it, whose last acknowledged commits nobody had heard, and the proof by reports held without them.

Change: observations and uses are kept by process (HostId).

Test: reports::a_process_reports_nothing_for_the_one_before_it fails when they are found by name.

--- a/crates/hemlockcrank_core/src/observation.rs
+++ b/crates/hemlockcrank_core/src/observation.rs
@@ -16,6 +16,7 @@
     Name,
     floor::{Floor, Sample},
     group::Group,
+    membership::HostId,
     session::Position,
     succession::Fencing,
 };
@@ -87,10 +88,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Observations {
     leader_term: u64,
-    /// Latest observation by service and host.
-    received: BTreeMap<Name, BTreeMap<Name, TimedObservation>>,
-    /// Latest use by service and host.
-    uses: BTreeMap<Name, BTreeMap<Name, Use>>,
+    /// Latest observation by service and process. What a process reported does not hold for the next one
+    /// of its host.
+    received: BTreeMap<Name, BTreeMap<HostId, TimedObservation>>,
+    /// Latest use by service and process.
+    uses: BTreeMap<Name, BTreeMap<HostId, Use>>,
     acknowledged: BTreeMap<Name, Position>,
     floors: BTreeMap<Name, Floor>,
     /// Until when hosts that left under earlier leaders may have acknowledged commits.
@@ -115,7 +117,7 @@
     pub fn note_departures(
         &mut self,
         service: &Name,
-        hosts: &[Name],
+        hosts: &[HostId],
         change: Option<u64>,
         acting_until: u64,
     ) {
@@ -128,7 +130,7 @@
         }
     }
 
-    fn has_released(&self, service: &str, host: &str, change: Option<u64>) -> bool {
+    fn has_released(&self, service: &str, host: &HostId, change: Option<u64>) -> bool {
         let used = self.uses.get(service).and_then(|hosts| hosts.get(host));
         used.is_some_and(|used| change.is_some() && used.released == change)
     }
@@ -137,7 +139,7 @@
     /// hosts have acknowledged.
     pub fn retain_hosts<F>(&mut self, in_view: F)
     where
-        F: Fn(&Name) -> bool,
+        F: Fn(&HostId) -> bool,
     {
         for hosts in self.received.values_mut() {
             hosts.retain(|host, _| in_view(host));
@@ -148,13 +150,13 @@
     }
 
     /// Recent operations at a host; `None` if it has not reported an observation of the service.
-    pub fn operations(&self, service: &str, host: &str) -> Option<u64> {
+    pub fn operations(&self, service: &str, host: &HostId) -> Option<u64> {
         let used = self.uses.get(service)?.get(host)?;
         Some(used.operations)
     }
 
     /// Records what a host that follows through a relay uses.
-    pub fn record_uses(&mut self, host: &Name, uses: Vec<Use>) {
+    pub fn record_uses(&mut self, host: &HostId, uses: Vec<Use>) {
         for used in uses {
             let hosts = self.uses.entry(used.service.clone()).or_default();
             hosts.insert(host.clone(), used);
@@ -162,7 +164,7 @@
     }
 
     /// Records the observations of a host.
-    pub fn record(&mut self, now: u64, host: &Name, observations: Vec<Observation>) {
+    pub fn record(&mut self, now: u64, host: &HostId, observations: Vec<Observation>) {
         let uses = observations.iter().map(Observation::to_use).collect();
         self.record_uses(host, uses);
         for observation in observations {
@@ -219,9 +221,9 @@
     ///
     /// `hosts` are the serving hosts in view, each with the time at which its lease has certainly
     /// expired.
-    pub fn fencing<'a, I>(&self, now: u64, service: &str, group: &Group, hosts: I) -> Fencing
+    pub fn fencing<I>(&self, now: u64, service: &str, group: &Group, hosts: I) -> Fencing
     where
-        I: IntoIterator<Item = (&'a Name, u64)>,
+        I: IntoIterator<Item = (HostId, u64)>,
     {
         let change = group.change.map(|change| change.index);
         let departure = self.departures.get(service).unwrap_or(&self.earlier);
@@ -229,7 +231,7 @@
         let mut complete = true;
         let mut confirmed = departed.is_some();
         for (host, lease_ends_at) in hosts {
-            let has_released = self.has_released(service, host, change);
+            let has_released = self.has_released(service, &host, change);
             confirmed &= has_released;
             complete &= has_released || now >= lease_ends_at;
         }
--- a/crates/hemlockcrank_core/tests/following/relays.rs
+++ b/crates/hemlockcrank_core/tests/following/relays.rs
@@ -201,6 +201,13 @@
 }
 
 /// The leader fences a change of primary by what followers report through their relay.
+fn process(host: &str) -> HostId {
+    HostId {
+        name: host.into(),
+        incarnation: 1,
+    }
+}
+
 #[test]
 fn a_change_is_fenced_by_releases_that_a_relay_reports() {
     let group = Group {
@@ -214,9 +221,9 @@
         }),
         ..Group::default()
     };
-    let hosts = [Name::from("follower-0"), Name::from("follower-1")];
-    let lease_ends = || hosts.iter().map(|host| (host, 5_000));
-    let released = |host: &Name, observations: &mut Observations| {
+    let hosts = [process("follower-0"), process("follower-1")];
+    let lease_ends = || hosts.iter().map(|host| (host.clone(), 5_000));
+    let released = |host: &HostId, observations: &mut Observations| {
         let used = Use {
             service: "ledger".into(),
             released: Some(42),
@@ -253,13 +260,13 @@
         let now = 10_000;
         let mut direct = Observations::new(1, 0);
         for (number, (age_ms, report)) in reports.iter().enumerate() {
-            let host: Name = format!("follower-{number}").into();
+            let host = process(&format!("follower-{number}"));
             direct.record(now - age_ms, &host, vec![report.clone()]);
         }
 
         let mut relayed = Observations::new(1, 0);
         let merged = merge(reports.iter().map(|(age_ms, report)| (*age_ms, report)));
-        relayed.record(now, &"relay".into(), merged);
+        relayed.record(now, &process("relay"), merged);
 
         assert_eq!(
             relayed.failing_ms(now, "ledger", 3),
--- a/crates/hemlockcrank_core/tests/reports.rs
+++ b/crates/hemlockcrank_core/tests/reports.rs
@@ -1,9 +1,9 @@
 //! What hosts report of their commits in a change of primary, and hosts that left without a report.
 
 use hemlockcrank_core::{
-    Name,
     floor::Sample,
     group::{Change, Group, Lead},
+    membership::HostId,
     observation::{Observations, Use},
     session::Position,
     succession::Fencing,
@@ -29,21 +29,28 @@
     }
 }
 
-fn release(observations: &mut Observations, host: &str) {
+fn process(host: &str, incarnation: u64) -> HostId {
+    HostId {
+        name: host.into(),
+        incarnation,
+    }
+}
+
+fn release(observations: &mut Observations, host: &HostId) {
     let used = Use {
         service: SERVICE.into(),
         released: Some(CHANGE),
         operations: 0,
     };
-    observations.record_uses(&host.into(), vec![used]);
+    observations.record_uses(host, vec![used]);
 }
 
 /// How far hosts are fenced off, long after all of them have released the old primary; `here` is the
 /// only one in view.
 fn fencing(observations: &mut Observations) -> Fencing {
-    release(observations, "here");
-    let here: Name = "here".into();
-    observations.fencing(LONG_MS, SERVICE, &group(), [(&here, 1_000)])
+    let here = process("here", 1);
+    release(observations, &here);
+    observations.fencing(LONG_MS, SERVICE, &group(), [(here, 1_000)])
 }
 
 fn sample(observations: &mut Observations, at: u64, number: u64) {
@@ -52,7 +59,7 @@
 }
 
 fn leave(observations: &mut Observations, acting_until: u64) {
-    let hosts = ["gone".into()];
+    let hosts = [process("gone", 1)];
     observations.note_departures(&SERVICE.into(), &hosts, Some(CHANGE), acting_until);
 }
 
@@ -98,9 +105,25 @@
 #[test]
 fn a_host_that_left_after_its_release_has_reported_everything() {
     let mut observations = Observations::new(1, 0);
-    release(&mut observations, "gone");
+    release(&mut observations, &process("gone", 1));
 
     leave(&mut observations, LONG_MS);
 
     assert!(fencing(&mut observations).confirmed);
 }
+
+/// Guards against the release of a new process as the word of the one before it on the same host.
+#[test]
+fn a_process_reports_nothing_for_the_one_before_it() {
+    let mut observations = Observations::new(1, 0);
+    release(&mut observations, &process("here", 2));
+    release(&mut observations, &process("gone", 2));
+
+    let here = [(process("here", 1), LONG_MS + 1)];
+    let early = observations.fencing(LONG_MS, SERVICE, &group(), here);
+    leave(&mut observations, LONG_MS);
+    let late = fencing(&mut observations);
+
+    assert!(!early.complete && !early.confirmed);
+    assert!(!late.confirmed);
+}
--- a/crates/hemlockcrank_core/tests/site.rs
+++ b/crates/hemlockcrank_core/tests/site.rs
@@ -7,6 +7,7 @@
     catalog::{Catalog, Draft, Freshness, Invalid, Route, Service, Workspace},
     floor::{Anchor, Floor, Sample, from_leader_age},
     group::{Age, Edit, Group, Groups, Lead, Member, Notice, Standing},
+    membership::HostId,
     observation::{Observation, Observations},
     session::Position,
     state::{Command, Reply, State},
@@ -352,13 +353,20 @@
     }
 }
 
+fn process(host: &str) -> HostId {
+    HostId {
+        name: host.into(),
+        incarnation: 1,
+    }
+}
+
 #[test]
 fn a_success_on_one_host_clears_the_failures_on_others() {
     let mut observations = Observations::new(1, 0);
-    observations.record(1_000, &"h1".into(), vec![observation(Some(400), None)]);
+    observations.record(1_000, &process("h1"), vec![observation(Some(400), None)]);
     assert_eq!(observations.failing_ms(1_000, "s", 1), Some(400));
 
-    observations.record(1_000, &"h2".into(), vec![observation(None, Some(10))]);
+    observations.record(1_000, &process("h2"), vec![observation(None, Some(10))]);
 
     assert_eq!(observations.failing_ms(1_000, "s", 1), None);
 }
@@ -375,10 +383,10 @@
     };
     apply(&mut state, &Command::Group(begin));
     let group: &Group = state.groups.get("s").expect("group");
-    let host = "h1".into();
+    let host = || process("h1");
 
-    let early = observations.fencing(999, "s", group, [(&host, 1_000)]);
-    let late = observations.fencing(1_000, "s", group, [(&host, 1_000)]);
+    let early = observations.fencing(999, "s", group, [(host(), 1_000)]);
+    let late = observations.fencing(1_000, "s", group, [(host(), 1_000)]);
 
     assert_eq!((early.complete, early.confirmed), (false, false));
     assert_eq!((late.complete, late.confirmed), (true, false));
@@ -392,9 +400,9 @@
     let mut current = observation(None, Some(1));
     current.sample = Some((2, sample(600, 9)));
 
-    observations.record(1_000, &"h1".into(), vec![old]);
+    observations.record(1_000, &process("h1"), vec![old]);
     assert_eq!(observations.newest_samples(60).count(), 0);
-    observations.record(1_000, &"h1".into(), vec![current]);
+    observations.record(1_000, &process("h1"), vec![current]);
 
     assert_eq!(observations.newest_samples(60).count(), 1);
 }
--- a/crates/hemlockcrank_host/src/control/actor/leadership.rs
+++ b/crates/hemlockcrank_host/src/control/actor/leadership.rs
@@ -88,7 +88,7 @@
         if let Some(coordinator) = &mut self.coordinator {
             coordinator
                 .observations
-                .record(now, &self.host.name, self.primaries.observations(now));
+                .record(now, &self.host.id(), self.primaries.observations(now));
         }
         let mut commands = supervisor.tick(now, &self.state);
         let down = supervisor.dead_hosts(now, &self.state);
--- a/crates/hemlockcrank_host/src/control/actor/responses.rs
+++ b/crates/hemlockcrank_host/src/control/actor/responses.rs
@@ -37,7 +37,7 @@
         if let Some(coordinator) = &mut self.coordinator {
             coordinator
                 .observations
-                .record(now, &fetch.host.name, fetch.primaries.clone());
+                .record(now, &fetch.host.id(), fetch.primaries.clone());
         }
         if let Some(tally) = &fetch.usage {
             self.note_usage(now, &fetch.host.id(), tally);
@@ -89,7 +89,7 @@
             if let Some(coordinator) = &mut self.coordinator {
                 coordinator
                     .observations
-                    .record_uses(name, follower.uses.clone());
+                    .record_uses(&follower.id, follower.uses.clone());
             }
         }
     }
--- a/crates/hemlockcrank_host/src/control/coordinator.rs
+++ b/crates/hemlockcrank_host/src/control/coordinator.rs
@@ -18,7 +18,7 @@
     Name,
     connections::{Capacity, Fleet},
     group::Groups,
-    membership::View,
+    membership::{Host, HostId, View},
     observation::Observations,
     share::Shares,
     state::State,
@@ -134,10 +134,8 @@
             return;
         }
         let last = std::mem::replace(&mut self.view, Arc::clone(view));
-        let left = last
-            .serving()
-            .filter(|host| view.find(&host.id()).is_none());
-        let left: Vec<Name> = left.map(|host| host.name.clone()).collect();
+        let processes = last.serving().map(Host::id);
+        let left: Vec<HostId> = processes.filter(|id| view.find(id).is_none()).collect();
         if !left.is_empty() {
             for (service, group) in groups.iter() {
                 let change = group.change.map(|change| change.index);
@@ -146,7 +144,7 @@
             }
         }
         self.observations
-            .retain_hosts(|host| view.get(host).is_some());
+            .retain_hosts(|process| view.find(process).is_some());
     }
 
     /// Divides the members' connections between the hosts by their use, except where there are too few
@@ -174,7 +172,7 @@
                 .view
                 .serving()
                 .map(|host| {
-                    let operations = self.observations.operations(service, &host.name);
+                    let operations = self.observations.operations(service, &host.id());
                     let operations = operations.or(all_reported.then_some(0))?;
                     Some((host.name.clone(), operations))
                 })
--- a/crates/hemlockcrank_host/src/control/supervisor.rs
+++ b/crates/hemlockcrank_host/src/control/supervisor.rs
@@ -130,17 +130,17 @@
         }
     }
 
-    /// Hosts in the view that serve callers, each with the time by which its lease has certainly
+    /// Processes in the view that serve callers, each with the time by which its lease has certainly
     /// ended.
     pub(crate) fn lease_ends<'a>(
         &'a self,
         state: &'a State,
-    ) -> impl Iterator<Item = (&'a Name, u64)> {
+    ) -> impl Iterator<Item = (HostId, u64)> + 'a {
         state.view.iter().filter_map(|host| {
             let heartbeat = self.heartbeats.get(&host.name)?;
             heartbeat
                 .serves
-                .then_some((&host.name, lease_end(heartbeat.at)))
+                .then_some((host.id(), lease_end(heartbeat.at)))
         })
     }
 
