A pause that has ended is no bound of the present moment

Callers could get a stale read during a change of primary: the leader gave out the position of paused rows of any age as that of now, once no host could act on the old term any more; a replica that was paused no more had received a commit in between.

Change: the sample of now is the bound that is provable after the fencing.

Test: steps::a_pause_that_has_ended_bounds_nothing failed before (Sample { at: 2275, position (1, 1) } for a commit (1, 2) acknowledged before).

--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -23,8 +23,8 @@
         let paused = self.frozen(inputs, |name, latest| {
             self.stays_paused(now, name, latest, term)
         });
-        let sample = if inputs.fencing.complete {
-            let position = final_position.or(paused.map(|(position, _)| position))?;
+        let bound = self.provable_bound(inputs);
+        let sample = if let Some(position) = bound.filter(|_| inputs.fencing.complete) {
             Sample { at: now, position }
         } else if let Some((position, at)) = paused {
             Sample { at, position }
--- a/crates/hemlockcrank_core/tests/succession/model.rs
+++ b/crates/hemlockcrank_core/tests/succession/model.rs
@@ -9,6 +9,7 @@
 
 use hemlockcrank_core::{
     Name,
+    floor::Sample,
     group::{Age, Change, Edit, Group, Groups, Lead, Member, Notice, Standing},
     session::Position,
     state::{Command, State},
@@ -70,6 +71,8 @@
     pub(crate) succession: Succession,
     /// What the change in progress lacks.
     pub(crate) lack: Option<Lack>,
+    /// Sample that the leader gives out during a change.
+    pub(crate) outgoing: Option<Sample>,
     pub(crate) fencing: Fencing,
     pub(crate) failing_ms: Option<u64>,
     pub(crate) acknowledged: Vec<Commit>,
@@ -109,6 +112,7 @@
             members: BTreeMap::new(),
             succession: Succession::default(),
             lack: None,
+            outgoing: None,
             fencing: Fencing::default(),
             failing_ms: None,
             acknowledged: Vec::new(),
@@ -332,6 +336,8 @@
         };
         let orders = self.succession.tick(self.now, &inputs);
         self.lack = self.succession.lack(self.now, &inputs);
+        let outgoing = self.succession.outgoing_sample(self.now, &inputs);
+        self.outgoing = outgoing.map(|(_, sample)| sample);
         for order in orders {
             let lost = is_lost(&order);
             self.execute(&order, lost);
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -2,6 +2,7 @@
 
 use hemlockcrank_core::{
     Name,
+    floor::Sample,
     group::{Age, Edit, Standing},
     session::Position,
     succession::Order,
@@ -204,6 +205,41 @@
     assert_eq!(site.lead().member, promoted[0]);
 }
 
+/// A change in which `c` is nominated as long as `b` and `c` are paused; then `b` is no more, the leader
+/// can't see it, and it receives a commit. No call has been made.
+fn end_pause_after_nomination() -> Site {
+    let mut site = Site::new();
+    site.write("a", &["b", "c"]);
+    site.member("a").cut_from_leader = true;
+    site.failing_ms = Some(500);
+    let is_call = |order: &Order| matches!(order, Order::Promote(..));
+    while site.nominee().is_none() {
+        site.tick(is_call);
+    }
+    assert_eq!(site.nominee(), Some("c".into()));
+    site.member("b").cut_from_leader = true;
+    for _ in 0..TICKS_PER_SECOND {
+        site.tick(is_call);
+    }
+    site.member("b").paused_for = 0;
+    site.write("a", &["b"]);
+    assert_eq!(site.acknowledged.len(), 2);
+    site.release(false);
+    site
+}
+
+/// Guards against stale reads: the leader gave out the position of a pause that had ended as that of now.
+#[test]
+fn a_pause_that_has_ended_bounds_nothing() {
+    let mut site = end_pause_after_nomination();
+    let acknowledged = (site.now, site.members["a"].position());
+
+    site.tick(|order| matches!(order, Order::Promote(..)));
+
+    let is_true = |sample: Sample| sample.at <= acknowledged.0 || sample.position >= acknowledged.1;
+    assert!(site.outgoing.is_none_or(is_true), "{:?}", site.outgoing);
+}
+
 #[test]
 fn a_primary_restarted_under_another_name_is_ordered_to_step_down() {
     let mut site = Site::new();
