A nominated member is called for only while a proof holds for it

Callers could lose a commit that was acknowledged between a nomination and the end of the hosts' leases: the nominated member was then called for without a proof, whatever the pause that had proved it had become.

Change: Succession::promote asks for a proof at each call; a member without one is replaced by one that has it, once no call for it can be carried out.

--- a/crates/hemlockcrank_core/src/succession/change.rs
+++ b/crates/hemlockcrank_core/src/succession/change.rs
@@ -111,8 +111,9 @@
         orders
     }
 
-    /// Nominates a member, or asks the platform for the promotion of the nominated one. Another one
-    /// takes its place only if it is not running, and no call for it can be carried out any more.
+    /// Nominates a member, or asks the platform for the promotion of the nominated one. What proved that it
+    /// holds every acknowledged commit must still hold. Another one takes its place only if it does not, or
+    /// if it is not running, and if no call for it can be carried out any more.
     fn promote(
         &mut self,
         now: u64,
@@ -125,8 +126,9 @@
             inputs.group.born(&nominee.member) != Some(nominee.born)
                 || self.calls.is_not_running(&nominee.member)
         });
-        if let Some(nominee) = nominee.filter(|_| !is_gone) {
-            return self.call(now, inputs, term, nominee);
+        let is_proved = |nominee: &&Nominee| self.is_proved(now, inputs, term, &nominee.member);
+        if let Some(nominee) = nominee.filter(|_| !is_gone).filter(is_proved) {
+            return self.call(now, inputs, nominee);
         }
         let candidate = self.candidate(now, inputs, term)?;
         let born = inputs.group.born(&candidate)?;
@@ -135,7 +137,7 @@
             nominee.filter(|nominee| nominee.member == candidate && nominee.born == born)
         {
             self.calls.forget_not_running();
-            return self.call(now, inputs, term, nominee);
+            return self.call(now, inputs, nominee);
         }
         let is_allowed = self.calls.allow(now, &candidate, change.planned);
         if !is_allowed || self.calls.await_earlier(now) {
@@ -149,19 +151,10 @@
         self.declare(now, inputs, &nominee, previous)
     }
 
-    /// Asks for the promotion of the nominated member. What proved that it holds every acknowledged
-    /// commit must still hold, or no host can acknowledge anything more. The intent is committed
-    /// first, and no call of an earlier leader may still be on its way.
-    fn call(
-        &mut self,
-        now: u64,
-        inputs: &Inputs<'_>,
-        term: u64,
-        nominee: &Nominee,
-    ) -> Option<Order> {
-        let mut eligible = self.eligible(now, inputs, term).into_iter();
-        let holds = inputs.fencing.complete || eligible.any(|(name, _)| *name == nominee.member);
-        if !holds || self.calls.await_earlier(now) {
+    /// Asks for the promotion of the nominated member. The intent is committed first, and no call of an
+    /// earlier leader may still be on its way.
+    fn call(&mut self, now: u64, inputs: &Inputs<'_>, nominee: &Nominee) -> Option<Order> {
+        if self.calls.await_earlier(now) {
             return None;
         }
         let mut intents = inputs.groups.intents(inputs.service).iter();
--- a/crates/hemlockcrank_core/src/succession/proof.rs
+++ b/crates/hemlockcrank_core/src/succession/proof.rs
@@ -113,6 +113,19 @@
         self.fall_back_to_old_primary(now, inputs)
     }
 
+    /// Whether this member provably holds every acknowledged commit.
+    pub(super) fn is_proved(
+        &self,
+        now: u64,
+        inputs: &Inputs<'_>,
+        term: u64,
+        member: &Name,
+    ) -> bool {
+        let mut eligible = self.eligible(now, inputs, term).into_iter();
+        eligible.any(|(name, _)| name == member)
+            || self.fall_back_to_old_primary(now, inputs).as_ref() == Some(member)
+    }
+
     /// The members that provably hold every acknowledged commit, other than the old primary.
     pub(super) fn eligible(
         &self,
--- a/crates/hemlockcrank_core/tests/succession/steps.rs
+++ b/crates/hemlockcrank_core/tests/succession/steps.rs
@@ -228,6 +228,20 @@
     site
 }
 
+/// Guards against a lost commit: a member was called for once nothing could be acknowledged any more, on a
+/// proof that had ended before.
+#[test]
+fn a_nominated_member_is_not_called_for_on_a_pause_that_has_ended() {
+    let mut site = end_pause_after_nomination();
+
+    site.ticks(4 * TICKS_PER_SECOND);
+    assert!(site.change().is_some(), "`c` lacks the commit");
+    site.member("b").cut_from_leader = false;
+    site.ticks(2 * TICKS_PER_SECOND);
+
+    assert_eq!(&*site.lead().member, "b");
+}
+
 /// Guards against stale reads: the leader gave out the position of a pause that had ended as that of now.
 #[test]
 fn a_pause_that_has_ended_bounds_nothing() {
