--- a/crates/hemlockcrank_core/src/succession/lack.rs
+++ b/crates/hemlockcrank_core/src/succession/lack.rs
@@ -18,7 +18,7 @@
 }
 
 impl Succession {
-    /// What the change in progress lacks, once it has waited for [`PATIENCE_MS`]; `None` if it has
+    /// What the change in progress lacks, once it has waited for two seconds; `None` if it has
     /// nominated a member, or if none is in progress.
     pub fn lack(&self, now: u64, inputs: &Inputs<'_>) -> Option<Lack> {
         inputs.group.change?;
