An accepted call is not settled by what another one has done

Callers could lose commits: a former primary was promoted again by a second call that the platform had accepted before.

Cause: once its member was the primary, an accepted call counted as settled, though an earlier call for the same member may have made it that.

Change: being the primary settles an accepted call only if no other open call names that member.

Test: late_calls::a_call_that_was_accepted_is_not_settled_by_what_another_one_did failed before ('c is promoted without (3, 74)'); 101 tests of succession pass.

--- a/crates/hemlockcrank_core/src/succession/calls.rs
+++ b/crates/hemlockcrank_core/src/succession/calls.rs
@@ -131,17 +131,24 @@
     }
 
     /// A change begins or ends. A call that the platform has accepted is settled once its member is
-    /// the primary.
+    /// the primary, if no other one can have made it that.
     pub(super) fn begin(&mut self, primary: Option<&Name>) {
         self.sent_at = None;
         self.not_running = None;
         self.primary = primary.cloned();
+        let is_only = primary.is_some_and(|member| self.is_only(member));
         self.open.retain(|call| {
             let accepted = matches!(call.state, CallState::Accepted { .. });
-            !accepted || primary != Some(&call.member)
+            !accepted || !is_only || primary != Some(&call.member)
         });
     }
 
+    /// Whether one open call alone names this member.
+    fn is_only(&self, member: &Name) -> bool {
+        let calls = self.open.iter().filter(|call| call.member == *member);
+        calls.count() == 1
+    }
+
     /// Adds a call and returns its number, if the pause before the next one has passed.
     pub(super) fn send(&mut self, now: u64, member: &Name, change: Option<u64>) -> Option<u64> {
         let pause_ms = match self.awaits(now, change) {
@@ -181,7 +188,8 @@
     ) -> Option<Call> {
         let index = self.open.iter().position(|call| call.number == number)?;
         let call = self.open[index].clone();
-        let is_carried_out = call.change != change && self.primary.as_ref() == Some(&call.member);
+        let is_primary = self.primary.as_ref() == Some(&call.member);
+        let is_carried_out = call.change != change && is_primary && self.is_only(&call.member);
         match reply {
             PromotionReply::Accepted if is_carried_out => {
                 self.open.swap_remove(index);
--- a/crates/hemlockcrank_core/tests/succession/late_calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/late_calls.rs
@@ -268,6 +268,33 @@
     assert_eq!(site.change(), None);
 }
 
+/// Guards against lost commits when two calls name one member: the first made it the primary, and the
+/// second, which had been accepted, was carried out after a planned change.
+#[test]
+fn a_call_that_was_accepted_is_not_settled_by_what_another_one_did() {
+    let mut site = Site::new();
+    let answered = |effect_ms, answer_ms| Platform {
+        answer_ms: Some(answer_ms),
+        ..slow_platform(0, effect_ms)
+    };
+    site.platform = Some(answered(1_600, 1_700));
+    let first = begin_change_until_the_call(&mut site);
+    site.platform = Some(answered(6_000, 25));
+    run_saving(&mut site, 1_800);
+    assert_eq!(*site.lead().member, *first);
+
+    site.platform = Some(answered(25, 25));
+    site.announce(&first, Standing::Leaving);
+    run_saving(&mut site, 2_000);
+    let replaced = site.lead().member.to_string();
+    site.member(&first).cut_from_members = true;
+    run_saving(&mut site, 4_000);
+    site.member(&first).cut_from_members = false;
+    run_saving(&mut site, 4_000);
+
+    assert_ne!(replaced, first);
+}
+
 /// Guards against a wait for a call that was never made: its leader failed right after the nomination.
 #[test]
 fn a_nomination_and_the_intent_to_call_are_one_step() {
