Random changes of primary: replaced members beside slow calls, handovers, late orders

In the model a call names the process that it was made for: one that starts again between a call and its effect is the platform's to refuse (docs/incidents/issue-39-accepted-call.md).

--- a/crates/hemlockcrank_core/tests/succession/model/platform.rs
+++ b/crates/hemlockcrank_core/tests/succession/model/platform.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Call {
     member: Name,
+    /// Start of the member's process at the time of the call. The platform does not promote another one.
+    born: Option<u64>,
     number: u64,
     /// Leadership that made the call; its answer means nothing to a later one.
     leadership: u64,
@@ -59,6 +61,7 @@
         } else if let Some(platform) = self.platform {
             self.calls.push(Call {
                 member: member.clone(),
+                born: self.group().born(member),
                 number,
                 leadership: self.leadership,
                 arrives_at: Some(now + platform.held_ms),
@@ -92,7 +95,13 @@
             }
             if is_due(call.effect_at) {
                 call.effect_at = None;
-                self.promote(&call.member);
+                if self
+                    .group()
+                    .born(&call.member)
+                    .is_none_or(|born| call.born == Some(born))
+                {
+                    self.promote(&call.member);
+                }
             }
             if is_due(call.answer_at) {
                 call.answer_at = None;
