Tests: each stand-in group has an address of its own

In that test nothing sends the order that ends a pause. Control threads of tests that have ended go on sending such orders to the ports of their members (fixture/own_ip.rs says so of links), and all members took ports of 127.0.0.1. Each group has its own loopback address now, as the links have; no check is changed.

--- a/crates/hemlockcrank/tests/crowds/main.rs
+++ b/crates/hemlockcrank/tests/crowds/main.rs
@@ -15,6 +15,8 @@
 mod crowd;
 #[path = "../../../../platform/tests/fixture/operator.rs"]
 mod operator;
+#[path = "../../../../platform/tests/fixture/own_ip.rs"]
+mod own_ip;
 #[path = "../shared/pg_site.rs"]
 mod pg_site;
 #[path = "../shared/process.rs"]
--- a/crates/hemlockcrank/tests/soak/main.rs
+++ b/crates/hemlockcrank/tests/soak/main.rs
@@ -39,6 +39,8 @@
 #[path = "../../../../platform/tests/fixture/operator.rs"]
 mod operator;
 mod orders;
+#[path = "../../../../platform/tests/fixture/own_ip.rs"]
+mod own_ip;
 #[path = "../shared/process.rs"]
 #[expect(dead_code, reason = "other tests use the rest")]
 mod process;
