--- a/crates/hemlockcrank_core/tests/succession/late_calls.rs
+++ b/crates/hemlockcrank_core/tests/succession/late_calls.rs
@@ -75,6 +75,18 @@
     }
 }
 
+/// The primary leaves, and receives nothing for 4 s once another member leads; returns that member.
+fn replace_and_cut_off(site: &mut Site, primary: &str) -> String {
+    site.announce(primary, Standing::Leaving);
+    run_saving(site, 2_000);
+    let replaced = site.lead().member.to_string();
+    site.member(primary).cut_from_members = true;
+    run_saving(site, 4_000);
+    site.member(primary).cut_from_members = false;
+    run_saving(site, 4_000);
+    replaced
+}
+
 /// Guards against a lower fencing token after a higher one: the call of a leader that was cut off
 /// reached the platform after that of its successor.
 #[test]
@@ -256,13 +268,7 @@
     run_saving(&mut site, 2_500);
     assert_eq!(*site.lead().member, *first);
 
-    site.announce(&first, Standing::Leaving);
-    run_saving(&mut site, 2_000);
-    let replaced = site.lead().member.to_string();
-    site.member(&first).cut_from_members = true;
-    run_saving(&mut site, 4_000);
-    site.member(&first).cut_from_members = false;
-    run_saving(&mut site, 4_000);
+    let replaced = replace_and_cut_off(&mut site, &first);
 
     assert_ne!(replaced, first);
     assert_eq!(site.change(), None);
@@ -284,13 +290,7 @@
     assert_eq!(*site.lead().member, *first);
 
     site.platform = Some(answered(25, 25));
-    site.announce(&first, Standing::Leaving);
-    run_saving(&mut site, 2_000);
-    let replaced = site.lead().member.to_string();
-    site.member(&first).cut_from_members = true;
-    run_saving(&mut site, 4_000);
-    site.member(&first).cut_from_members = false;
-    run_saving(&mut site, 4_000);
+    let replaced = replace_and_cut_off(&mut site, &first);
 
     assert_ne!(replaced, first);
 }
