--- a/crates/hemlockcrank_core/tests/succession/random.rs
+++ b/crates/hemlockcrank_core/tests/succession/random.rs
@@ -353,5 +353,7 @@
     let seeds = block * 50..(block + 1) * 50;
     let runs = seeds.map(|seed| run_with_replacements(seed, calls).promoted.len());
     let promotions: usize = runs.sum();
-    assert!(promotions >= 20, "{promotions} promotions in 50 runs");
+    // The slow platform of the second form completes fewer changes.
+    let least = if calls { 20 } else { 50 };
+    assert!(promotions >= least, "{promotions} promotions in 50 runs");
 }
