--- a/review/stand-in-3.rs
+++ b/review/stand-in-3.rs
@@ -469,9 +469,7 @@
         for host in &self.hosts {
             self.start_host(host, true);
         }
-        let config = format!(
-            r#"{{"version":3,"routes":[{{"name":"r-1","host":"{READ_ROUTE}","pathPrefix":"/","kind":"bounded","timeoutMs":2000,"targetLatencyMs":500,"priority":2,"backend":"{SERVICE}","maxAttempts":2,"maxStalenessMs":1500,"public":false}},{{"name":"r-2","host":"{WRITE_ROUTE}","pathPrefix":"/","kind":"primary","timeoutMs":800,"targetLatencyMs":150,"priority":1,"backend":"{SERVICE}","maxAttempts":2,"public":false}}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConns":34,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0,"syncReplicas":1}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"txIdleMs":3000}},"tenants":[{{"name":"{TENANT}","apiKeys":["{KEY}"],"priority":1,"ratePerS":2000,"burst":2000}}]}}"#
-        );
+        let config = self.config(3);
         let until = Instant::now() + Duration::from_secs(25);
         loop {
             let (status, _) = self.call_control("PUT", "/config", &config);
@@ -501,6 +499,28 @@
         true
     }
 
+    /// A whole desired state.
+    fn config(&self, version: u64) -> String {
+        format!(
+            r#"{{"version":{version},"routes":[{{"name":"r-1","host":"{READ_ROUTE}","pathPrefix":"/","kind":"bounded","timeoutMs":2000,"targetLatencyMs":500,"priority":2,"backend":"{SERVICE}","maxAttempts":2,"maxStalenessMs":1500,"public":false}},{{"name":"r-2","host":"{WRITE_ROUTE}","pathPrefix":"/","kind":"primary","timeoutMs":800,"targetLatencyMs":150,"priority":1,"backend":"{SERVICE}","maxAttempts":2,"public":false}}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConns":34,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0,"syncReplicas":1}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"txIdleMs":3000}},"tenants":[{{"name":"{TENANT}","apiKeys":["{KEY}"],"priority":1,"ratePerS":2000,"burst":2000}}]}}"#
+        )
+    }
+
+    /// The desired state that a control host answers with.
+    fn read_back(&self) -> String {
+        let read = |address: SocketAddrV4| -> std::io::Result<String> {
+            let mut stream = TcpStream::connect(address)?;
+            stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+            stream.write_all(b"GET /config HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n")?;
+            let mut text = String::new();
+            stream.read_to_string(&mut text)?;
+            Ok(text)
+        };
+        let mut answers = self.control_addresses().into_iter().filter_map(|address| read(address).ok());
+        let text = answers.find(|text| text.starts_with("HTTP/1.1 200")).unwrap_or_default();
+        text.split_once("\r\n\r\n").map_or(String::new(), |(_, body)| body.into())
+    }
+
     fn is_ready(&self, host: &Host) -> bool {
         http(SocketAddrV4::new(host.ip, self.port + 3), "GET", "/ready", "") == 200
     }
@@ -676,6 +696,40 @@
     Some(late.is_empty())
 }
 
+/// The operator sends a desired state of which a part is missing.
+fn partial_desired_state(site: &Arc<Site>, trouble: bool) -> Option<bool> {
+    if !site.start() {
+        return None;
+    }
+    let crowd = Crowd::start(site, 4, Duration::from_millis(30));
+    sleep(Duration::from_secs(4));
+    let served = crowd.done.load(Ordering::Relaxed);
+    let whole = site.config(5);
+    let body = match trouble {
+        true => format!("{}{}", whole.split("\"routes\":").next()?, &whole[whole.find("\"services\":")?..]),
+        false => whole,
+    };
+    let (status, _) = site.call_control("PUT", "/config", &body);
+    site.record.note(format!("PUT /config {body} -> {status}"));
+    sleep(Duration::from_secs(4));
+    let before = crowd.done.load(Ordering::Relaxed);
+    sleep(Duration::from_secs(4));
+    let after = crowd.done.load(Ordering::Relaxed);
+    let read_back = site.read_back();
+    site.record.note(format!("GET /config -> {read_back}"));
+    crowd.stop();
+    site.record.note(format!("answered with success: {served} before the call, {} in the 4 s that end 8 s after it", after - before));
+    if served == 0 {
+        return None;
+    }
+    let acknowledged = (200..300).contains(&status);
+    Some(match trouble {
+        // What is invalid is acknowledged, or is in force.
+        true => !acknowledged && after > before && read_back.contains("\"version\":3,"),
+        false => acknowledged && after > before && read_back.contains("\"version\":5,"),
+    })
+}
+
 /// Callers read many rows at once. A process that uses more than `memoryMb` is killed and started again.
 fn large_answers(site: &Arc<Site>, trouble: bool) -> Option<bool> {
     const MEMORY_MB: u64 = 260;
@@ -740,6 +794,7 @@
     let site = Site::new(Arc::clone(&record));
     let outcome = match (&site, &*scenario) {
         (Some(site), "restart") => restart_with_an_earlier_clock(site, trouble),
+        (Some(site), "partial") => partial_desired_state(site, trouble),
         (Some(site), "answers") => large_answers(site, trouble),
         _ => None,
     };
