review: case 11, a primary that starts again without its log

Cause: a start of the primary's process is committed, and neither ends its lead nor begins a change; a host's guard is bound to the member's name, reads at the primary carry no position, and the answer's isn't looked at.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 test -x target/release/hemlockcrank && test -x target/review-3/stand-in || exit 2
-exec target/review-3/stand-in answers "$folder"
+exec target/review-3/stand-in partial "$folder"
--- a/review/stand-in-3.rs
+++ b/review/stand-in-3.rs
@@ -56,6 +56,8 @@
 struct Run {
     at_ms: u64,
     id: String,
+    /// Number of the last commit in the member's log.
+    number: u64,
     /// Whether it is a statement of its own or the first of a transaction.
     begins: bool,
 }
@@ -78,6 +80,8 @@
     zone: &'static str,
     address: SocketAddrV4,
     state: Mutex<MemberState>,
+    /// Term and number of the last commit in its log; 0 and 0 if it is empty.
+    log: Mutex<(u64, u64)>,
     runs: Mutex<Vec<Run>>,
     /// When a check-in that says `draining` was first acknowledged.
     drain_acked_ms: AtomicU64,
@@ -89,11 +93,54 @@
     work_ms: AtomicU64,
 }
 
-/// The database: all members hold the same log, because replication is immediate here.
+/// The database. A commit reaches all members at once that run and are not paused, with what they lack.
 struct Database {
     record: Arc<Record>,
     members: Vec<Arc<Member>>,
-    commits: Mutex<u64>,
+    committing: Mutex<()>,
+}
+
+impl Database {
+    /// Adds a commit at the primary; returns once a replica has it, and `false` if none takes it.
+    fn commit(&self, primary: &Member) -> bool {
+        let _one_at_a_time = self.committing.lock().unwrap();
+        let before = *primary.log.lock().unwrap();
+        let next = (primary.state.lock().unwrap().term, before.1 + 1);
+        let mut copies = 0;
+        for member in &self.members {
+            let takes = {
+                let state = member.state.lock().unwrap();
+                state.up && state.held == 0
+            };
+            if takes {
+                *member.log.lock().unwrap() = next;
+                copies += 1;
+            }
+        }
+        copies > 1
+    }
+
+    /// Makes a member the primary of the next term. The others take over its log.
+    fn promote(&self, id: &str) {
+        let _nothing_is_committed = self.committing.lock().unwrap();
+        let Some(chosen) = self.members.iter().find(|member| member.id == id) else {
+            return;
+        };
+        let newest = self.members.iter().map(|member| member.state.lock().unwrap().term).max();
+        let term = newest.unwrap_or(0) + 1;
+        let log = *chosen.log.lock().unwrap();
+        for member in &self.members {
+            let mut state = member.state.lock().unwrap();
+            if !state.up {
+                continue;
+            }
+            state.primary = member.id == id;
+            state.term = term;
+            state.held = if state.primary { 0 } else { state.held };
+            *member.log.lock().unwrap() = log;
+        }
+        self.record.note(format!("{id} is primary in term {term}, log {log:?}"));
+    }
 }
 
 impl Member {
@@ -106,6 +153,14 @@
         state.born = wall_ms().saturating_add_signed(state.clock_ahead_ms);
     }
 
+    /// Loses the log and the role, as a member that starts again with nothing.
+    fn forget(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.primary = false;
+        state.term = 0;
+        *self.log.lock().unwrap() = (0, 0);
+    }
+
     fn crash(&self) {
         let mut state = self.state.lock().unwrap();
         state.up = false;
@@ -137,7 +192,10 @@
     stream.set_nodelay(true)?;
     let mut input = BufReader::new(stream.try_clone()?);
     let mut output = stream;
-    let position = || format!("1.{}", *database.commits.lock().unwrap());
+    let position = || match *member.log.lock().unwrap() {
+        (_, 0) => "-".to_owned(),
+        (term, number) => format!("{term}.{number}"),
+    };
     let mut line = String::new();
     input.read_line(&mut line)?;
     let words: Vec<&str> = line.trim_end().split(' ').collect();
@@ -167,7 +225,7 @@
             statement = rest;
             let (term, number) = wanted.split_once('.').unwrap_or(("1", "0"));
             let wanted = (term.parse::<u64>().unwrap_or(1), number.parse::<u64>().unwrap_or(0));
-            lagging = wanted > (1, *database.commits.lock().unwrap());
+            lagging = wanted > *member.log.lock().unwrap();
         }
         let words: Vec<&str> = statement.split(' ').collect();
         let (primary, row) = {
@@ -185,7 +243,8 @@
         };
         let runs = |begins: bool| {
             let at_ms = database.record.now_ms();
-            member.runs.lock().unwrap().push(Run { at_ms, id: id.into(), begins });
+            let number = member.log.lock().unwrap().1;
+            member.runs.lock().unwrap().push(Run { at_ms, id: id.into(), number, begins });
         };
         let (is_write, is_read) = match words.as_slice() {
             ["WRITE", ..] => (true, false),
@@ -214,8 +273,10 @@
             }
             ["COMMIT"] => {
                 runs(false);
-                *database.commits.lock().unwrap() += u64::from(writes > 0);
                 status = 'I';
+                if writes > 0 && !database.commit(member) {
+                    return Ok(());
+                }
                 answer.extend_from_slice(format!("DONE c.{id}\r\n").as_bytes());
             }
             ["PREPARE", name, kind, ..] => {
@@ -235,7 +296,8 @@
                 runs(status == 'I' || first);
                 first = false;
                 match status {
-                    'I' => *database.commits.lock().unwrap() += 1,
+                    'I' if database.commit(member) => {}
+                    'I' => return Ok(()),
                     _ => writes += 1,
                 }
                 answer.extend_from_slice(format!("DONE w.{id}\r\n").as_bytes());
@@ -371,6 +433,7 @@
                     draining: false,
                     streams: Vec::new(),
                 }),
+                log: Mutex::new((1, 1)),
                 runs: Mutex::default(),
                 drain_acked_ms: AtomicU64::new(0),
                 gone_acked_ms: AtomicU64::new(0),
@@ -379,7 +442,7 @@
             })
         };
         let members = vec![member(21, "abbasiya", true), member(22, "heliopolis", false), member(23, "maadi", false)];
-        let database = Arc::new(Database { record: Arc::clone(&record), members, commits: Mutex::new(1) });
+        let database = Arc::new(Database { record: Arc::clone(&record), members, committing: Mutex::default() });
         let host = |last: u8, zone: &'static str, control: bool| Host {
             ip: ip(last),
             zone,
@@ -462,6 +525,8 @@
 
     /// Starts members and hosts, and gives the first desired state. Returns whether the site is ready.
     fn start(self: &Arc<Self>) -> bool {
+        let site = Arc::clone(self);
+        thread::spawn(move || serve_platform(&site));
         for index in 0..self.database.members.len() {
             let database = Arc::clone(&self.database);
             thread::spawn(move || serve_member(database, index));
@@ -526,6 +591,38 @@
     }
 }
 
+/// The platform: `POST /promote` takes effect 600 ms after its answer.
+fn serve_platform(site: &Site) {
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 0, 43, 99), site.port)).expect("platform address");
+    for mut stream in listener.incoming().flatten() {
+        let mut text = String::new();
+        let mut buffer = [0; 4_096];
+        while !text.ends_with('}') {
+            match stream.read(&mut buffer) {
+                Ok(length) if length > 0 => text.push_str(&String::from_utf8_lossy(&buffer[..length])),
+                _ => break,
+            }
+        }
+        let body = text.split("\r\n\r\n").nth(1).unwrap_or_default();
+        let named = |member: &&Arc<Member>| body.contains(&format!("\"{}\"", member.id));
+        let member = site.database.members.iter().find(named);
+        let runs = member.is_some_and(|member| member.state.lock().unwrap().up);
+        let status = if runs { "200 OK" } else { "409 Conflict" };
+        site.record.note(format!("POST /promote {body} -> {status}"));
+        let _ = stream.write_all(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").as_bytes());
+        if let Some(member) = member.filter(|_| runs) {
+            let (database, id) = (Arc::clone(&site.database), member.id.clone());
+            thread::spawn(move || {
+                sleep(Duration::from_millis(600));
+                let already = database.members.iter().any(|member| member.id == id && member.state.lock().unwrap().primary);
+                if !already {
+                    database.promote(&id);
+                }
+            });
+        }
+    }
+}
+
 // -------------------------------------------------------------------------------------------------
 // Callers
 
@@ -617,15 +714,20 @@
 impl Crowd {
     /// `readers` and one writer at each entry host.
     fn start(site: &Arc<Site>, readers: usize, pause: Duration) -> Self {
+        Self::start_at(site, readers, true, pause, READ_ROUTE)
+    }
+
+    /// Readers of this route at each entry host, and one writer if `writes`.
+    fn start_at(site: &Arc<Site>, readers: usize, writes: bool, pause: Duration, route: &'static str) -> Self {
         let mut crowd = Self { stop: Arc::default(), cut: Arc::default(), done: Arc::default(), threads: Vec::new() };
         for front in site.fronts() {
-            for number in 0..=readers {
+            for number in usize::from(!writes)..=readers {
                 let (site, ip) = (Arc::clone(site), front.ip);
                 let (stop, cut, done) = (Arc::clone(&crowd.stop), Arc::clone(&crowd.cut), Arc::clone(&crowd.done));
                 let name = format!("{:02x}{number:02x}", ip.octets()[3]);
                 crowd.threads.push(thread::spawn(move || match number {
                     0 => call_over_and_over(&site, ip, &name, WRITE_ROUTE, "WRITE 1a4 xkqpwnzd", Duration::from_millis(50), &stop, &cut, &done),
-                    _ => call_over_and_over(&site, ip, &name, READ_ROUTE, "READ 1a4", pause, &stop, &cut, &done),
+                    _ => call_over_and_over(&site, ip, &name, route, "READ 1a4", pause, &stop, &cut, &done),
                 }));
             }
         }
@@ -696,6 +798,49 @@
     Some(late.is_empty())
 }
 
+/// The primary starts again under its id and holds nothing of before, while no caller sends anything.
+fn empty_primary(site: &Arc<Site>, trouble: bool) -> Option<bool> {
+    if !site.start() {
+        return None;
+    }
+    let primary = Arc::clone(&site.database.members[0]);
+    let crowd = Crowd::start_at(site, 3, true, Duration::from_millis(20), WRITE_ROUTE);
+    sleep(Duration::from_secs(5));
+    let (_, served) = crowd.stop();
+    let acknowledged = primary.log.lock().unwrap().1;
+    site.record.note(format!("{served} answered with success; the callers rest, {acknowledged} commits are acknowledged"));
+    sleep(Duration::from_millis(500));
+    let restarted_at = site.record.now_ms();
+    if trouble {
+        site.record.note(format!("{} crashes", primary.id));
+        primary.crash();
+        primary.forget();
+        sleep(Duration::from_millis(300));
+        primary.boot();
+        site.record.note(format!("{} runs again, as a replica without a log", primary.id));
+    }
+    sleep(Duration::from_secs(2));
+    site.record.note("callers read again");
+    let crowd = Crowd::start_at(site, 3, false, Duration::from_millis(100), WRITE_ROUTE);
+    sleep(Duration::from_secs(8));
+    site.record.note("callers write again, too");
+    let writing = Crowd::start_at(site, 0, true, Duration::from_millis(100), WRITE_ROUTE);
+    sleep(Duration::from_secs(8));
+    let (_, done) = crowd.stop();
+    let (_, written) = writing.stop();
+    let runs = primary.runs.lock().unwrap();
+    let stale: Vec<&Run> = runs.iter().filter(|run| run.at_ms > restarted_at && run.number < acknowledged).collect();
+    for run in &stale {
+        site.record.note(format!("{} ran {} at {} ms; its log ends at {}, {acknowledged} were acknowledged before the read", primary.id, run.id, run.at_ms, run.number));
+    }
+    let last = stale.iter().map(|run| run.at_ms).max().unwrap_or(0);
+    site.record.note(format!("{done} reads and {written} writes answered with success after the rest; {} reads of a primary route ran on a log that lacks acknowledged commits, the last at {last} ms", stale.len()));
+    if served == 0 || done == 0 {
+        return None;
+    }
+    Some(stale.is_empty())
+}
+
 /// The operator sends a desired state of which a part is missing.
 fn partial_desired_state(site: &Arc<Site>, trouble: bool) -> Option<bool> {
     if !site.start() {
@@ -743,7 +888,7 @@
             member.answer.1.store(1_000, Ordering::Relaxed);
         }
     }
-    let crowd = Crowd::start(site, 10, Duration::from_millis(100));
+    let crowd = Crowd::start(site, 12, Duration::from_millis(100));
     let mut kills: HashMap<Ipv4Addr, usize> = HashMap::new();
     let mut peaks: HashMap<Ipv4Addr, u64> = HashMap::new();
     let until = Instant::now() + Duration::from_secs(80);
@@ -794,6 +939,7 @@
     let site = Site::new(Arc::clone(&record));
     let outcome = match (&site, &*scenario) {
         (Some(site), "restart") => restart_with_an_earlier_clock(site, trouble),
+        (Some(site), "empty") => empty_primary(site, trouble),
         (Some(site), "partial") => partial_desired_state(site, trouble),
         (Some(site), "answers") => large_answers(site, trouble),
         _ => None,
